--- /dev/null
+++ b/internal/command/cli/cmd_scheduler.go
@@ -0,0 +1,21 @@
+package cli
+
+import (
+	"daisywheel/platform/machine"
+)
+
+var cmdScheduler = command{
+	name: "scheduler",
+	args: "[-check]",
+	line: "run the job scheduler of one entry VM on the users' platform",
+	run:  runScheduler,
+}
+
+func runScheduler(env *env, args []string) error {
+	set := env.flags("scheduler")
+	isCheck := set.Bool("check", false, "check the platform's settings and exit")
+	if _, err := parse(set, args); err != nil {
+		return err
+	}
+	return machine.Run(machine.Config{Out: env.out, IsCheck: *isCheck, Quit: interrupted()})
+}
--- /dev/null
+++ b/internal/fleet/queue/queue.go
@@ -0,0 +1,69 @@
+// Package queue holds the configuration of the queues in force: which service
+// runs the jobs of which queue, and by which limits.
+package queue
+
+import (
+	"sort"
+	"strings"
+	"time"
+)
+
+// Queue is one queue of jobs.
+type Queue struct {
+	Name        string
+	Host        string
+	Prefix      string
+	Service     string
+	Priority    int // 0 comes first
+	MaxAttempts int
+	Factor      float64       // objective: Factor times the longest chain, and Goal
+	Goal        time.Duration // see Factor
+	NeedsAdvice bool          // VMs must be allowed by the advice service
+}
+
+// Service is a pool of VMs.
+type Service struct {
+	Name      string
+	IsStandby bool // its VMs are off
+}
+
+// Table is one version of the configuration. It does not change.
+type Table struct {
+	version  int64
+	queues   []Queue // longest prefix first
+	services []Service
+}
+
+// NewTable returns a Table with the queues in matching order.
+func NewTable(version int64, queues []Queue, services []Service) *Table {
+	tab := &Table{version: version, queues: append([]Queue(nil), queues...), services: append([]Service(nil), services...)}
+	sort.SliceStable(tab.queues, func(i, j int) bool { return len(tab.queues[i].Prefix) > len(tab.queues[j].Prefix) })
+	sort.Slice(tab.services, func(i, j int) bool { return tab.services[i].Name < tab.services[j].Name })
+	return tab
+}
+
+// Version returns the number of the configuration.
+func (tab *Table) Version() int64 { return tab.version }
+
+// Services returns the services by name.
+func (tab *Table) Services() []Service { return tab.services }
+
+// Match returns the queue for a request and the rest of the path.
+func (tab *Table) Match(host, path string) (que Queue, rest string, ok bool) {
+	for i := range tab.queues {
+		if tab.queues[i].Host == host && strings.HasPrefix(path, tab.queues[i].Prefix) {
+			return tab.queues[i], path[len(tab.queues[i].Prefix):], true
+		}
+	}
+	return Queue{}, "", false
+}
+
+// Named returns the queue with the name.
+func (tab *Table) Named(name string) (Queue, bool) {
+	for i := range tab.queues {
+		if tab.queues[i].Name == name {
+			return tab.queues[i], true
+		}
+	}
+	return Queue{}, false
+}
--- /dev/null
+++ b/internal/job/plan/plan.go
@@ -0,0 +1,157 @@
+// Package plan describes a job as its caller submitted it: steps of tasks with
+// dependencies.
+package plan
+
+import (
+	"time"
+
+	"daisywheel/internal/result/code"
+	"daisywheel/internal/result/fault"
+)
+
+// Bounds of one job. They keep the state of a job below a megabyte.
+const (
+	MaxSpecBytes   = 4000
+	MaxSteps       = 64
+	MaxTasks       = 4096
+	MaxOccurrences = 10000
+	idDigits       = 16
+)
+
+// Demand is what one task needs of a VM. A VM's capacity has the same shape.
+type Demand struct {
+	MilliCores int64
+	MemoryMB   int64
+	GPUs       int64
+}
+
+// Fits reports whether the demand is within the room.
+func (dmd Demand) Fits(room Demand) bool {
+	return dmd.MilliCores <= room.MilliCores && dmd.MemoryMB <= room.MemoryMB && dmd.GPUs <= room.GPUs
+}
+
+// Plus returns the sum.
+func (dmd Demand) Plus(other Demand) Demand {
+	return Demand{dmd.MilliCores + other.MilliCores, dmd.MemoryMB + other.MemoryMB, dmd.GPUs + other.GPUs}
+}
+
+// Minus returns the difference.
+func (dmd Demand) Minus(other Demand) Demand {
+	return Demand{dmd.MilliCores - other.MilliCores, dmd.MemoryMB - other.MemoryMB, dmd.GPUs - other.GPUs}
+}
+
+// Step is a number of equal tasks.
+type Step struct {
+	Count        int
+	Demand       Demand
+	Estimate     time.Duration // declared run time of one task
+	After        []int         // steps whose tasks must all be done first
+	Image        string        // tasks of one image behave alike
+	Label        string        // label that the VM must have
+	Rack         string        // rack where the data lies
+	MaxPerVM     int           // 0: no bound
+	Goal         time.Duration // bound of the tail of a lasting task that serves users
+	MaxAway      int           // tasks that may be unavailable at once by our orders
+	IsGang       bool          // all tasks run together or not at all
+	IsOneRack    bool          // the gang is slower across racks
+	IsSaving     bool          // tasks write checkpoints
+	IsCopyable   bool          // copies of a task may run in parallel
+	IsLasting    bool          // tasks run until the job is cancelled
+	IsBackground bool          // tasks use what others leave of the cores
+}
+
+// Plan is a submitted job. It does not change.
+type Plan struct {
+	ID       string
+	Spec     string // passed to the VM as it came
+	Steps    []Step
+	Times    int           // 0: runs once
+	FirstAt  time.Time     // when occurrence 0 is due
+	Interval time.Duration // between occurrences
+}
+
+// IsRepeating reports whether the job has occurrences with due times.
+func (pln *Plan) IsRepeating() bool { return pln.Times > 0 }
+
+// IsLasting reports whether the job runs until it is cancelled.
+func (pln *Plan) IsLasting() bool {
+	for i := range pln.Steps {
+		if pln.Steps[i].IsLasting {
+			return true
+		}
+	}
+	return false
+}
+
+// Occurrences returns how many times the steps run.
+func (pln *Plan) Occurrences() int { return max(1, pln.Times) }
+
+// Chain returns the longest chain of declared run times.
+func (pln *Plan) Chain() time.Duration {
+	var longest time.Duration
+	ends := make([]time.Duration, len(pln.Steps))
+	for i := range pln.Steps {
+		var start time.Duration
+		for _, dep := range pln.Steps[i].After {
+			start = max(start, ends[dep])
+		}
+		ends[i] = start + pln.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// IsID reports whether id has the form of a job's id: 16 hexadecimal digits.
+func IsID(id string) bool {
+	if len(id) != idDigits {
+		return false
+	}
+	for _, chr := range []byte(id) {
+		isDigit := chr >= '0' && chr <= '9' || chr >= 'a' && chr <= 'f' || chr >= 'A' && chr <= 'F'
+		if !isDigit {
+			return false
+		}
+	}
+	return true
+}
+
+// Check reports the first thing that makes the job unusable.
+func (pln *Plan) Check() error {
+	switch {
+	case !IsID(pln.ID):
+		return fault.New(code.BadShape, "job id %.40q is not 16 hexadecimal digits", pln.ID)
+	case len(pln.Spec) > MaxSpecBytes:
+		return fault.New(code.BadShape, "spec has %d bytes, at most %d", len(pln.Spec), MaxSpecBytes)
+	case len(pln.Steps) == 0 || len(pln.Steps) > MaxSteps:
+		return fault.New(code.BadShape, "job has %d steps, must be 1 to %d", len(pln.Steps), MaxSteps)
+	case pln.Times < 0 || pln.Times > MaxOccurrences || pln.Interval < 0:
+		return fault.New(code.BadShape, "job repeats %d times each %s", pln.Times, pln.Interval)
+	}
+	total := 0
+	for i := range pln.Steps {
+		if err := pln.Steps[i].check(i); err != nil {
+			return err
+		}
+		total += pln.Steps[i].Count
+	}
+	if total > MaxTasks {
+		return fault.New(code.BadShape, "job has %d tasks, at most %d", total, MaxTasks)
+	}
+	return nil
+}
+
+func (stp *Step) check(num int) error {
+	dmd := stp.Demand
+	switch {
+	case stp.Count < 1 || stp.Count > MaxTasks:
+		return fault.New(code.BadShape, "step %d has %d tasks, must be 1 to %d", num, stp.Count, MaxTasks)
+	case dmd.MilliCores < 0 || dmd.MemoryMB < 0 || dmd.GPUs < 0 || stp.Estimate < 0 || stp.MaxPerVM < 0 || stp.MaxAway < 0:
+		return fault.New(code.BadShape, "step %d has a negative figure", num)
+	}
+	for _, dep := range stp.After {
+		if dep < 0 || dep >= num {
+			return fault.New(code.BadShape, "step %d depends on step %d, which is not an earlier one", num, dep)
+		}
+	}
+	return nil
+}
--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -139,6 +139,13 @@
 	return nil
 }
 
+// Connect makes sure that there is a connection to the peer. When it fails, the
+// peer has been asked nothing.
+func (lnk *Link) Connect(ctx context.Context, address string) error {
+	_, err := lnk.conn(ctx, address)
+	return err
+}
+
 func (lnk *Link) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
 	lnk.mu.Lock()
 	rpc, ok := lnk.outgoing[address]
--- /dev/null
+++ b/internal/schedule/cell/place.go
@@ -0,0 +1,269 @@
+package cell
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"daisywheel/internal/fleet/agent"
+	"daisywheel/internal/job/plan"
+	"daisywheel/internal/schedule/fit"
+	"daisywheel/internal/schedule/rank"
+)
+
+// remaining returns the longest chain of the steps of a round that are not done.
+func remaining(pln *plan.Plan, rnd *round) time.Duration {
+	var longest time.Duration
+	ends := make([]time.Duration, len(rnd.stages))
+	for i, stg := range rnd.stages {
+		if stg.isDone() {
+			continue
+		}
+		for _, dep := range pln.Steps[i].After {
+			ends[i] = max(ends[i], ends[dep])
+		}
+		ends[i] += pln.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// Plan returns the orders that should be sent now, and takes them as sent.
+func (cel *Cell) Plan(now time.Time) []Order {
+	orders := cel.planStops(now, nil)
+	cel.checkSettled(now)
+	for _, stg := range cel.sorted(now) {
+		orders = cel.placeStage(now, stg, orders)
+	}
+	return cel.planPaces(orders)
+}
+
+// checkSettled finds out whether tasks of earlier terms may be started: every VM
+// has told what runs there, or its leases have run out.
+func (cel *Cell) checkSettled(now time.Time) {
+	if cel.settled {
+		return
+	}
+	if now.Before(cel.settleBy) {
+		if len(cel.vms) == 0 {
+			return
+		}
+		for _, mac := range cel.vms {
+			if !mac.isHeld {
+				return
+			}
+		}
+	}
+	cel.settled = true
+	cel.cfg.Event(now, "cellSettled", slog.Int("vms", len(cel.vms)), slog.Int("jobs", len(cel.jobs)))
+}
+
+func (cel *Cell) planStops(now time.Time, orders []Order) []Order {
+	for _, mac := range cel.vms {
+		if !mac.isHeld {
+			continue
+		}
+		for _, wrk := range mac.works {
+			if wrk.step.job.state.IsEnded() {
+				cel.stop(wrk)
+			}
+			if wrk.phase == stopping && wrk.stopAcked.IsZero() && now.Sub(wrk.stopSent) >= orderRetry {
+				wrk.stopSent = now
+				orders = append(orders, Order{Kind: StopTask, Target: cel.target(mac), Task: wrk.id, Run: wrk.run})
+			}
+		}
+		for key, stp := range mac.strays {
+			if now.Sub(stp.sentAt) >= orderRetry {
+				stp.sentAt = now
+				orders = append(orders, Order{Kind: StopTask, Target: cel.target(mac), Task: key.task, Run: key.run})
+			}
+		}
+	}
+	return orders
+}
+
+type rankedStage struct {
+	key rank.Key
+	stg *stage
+}
+
+// sorted returns the stages with tasks that wait, in the order of service.
+func (cel *Cell) sorted(now time.Time) []*stage {
+	list := make([]rankedStage, 0, len(cel.open))
+	for stg := range cel.open {
+		if stg.waitCount == 0 || stg.job.isOld && !cel.settled {
+			continue
+		}
+		que, _ := cel.queueOf(stg.job.queue)
+		list = append(list, rankedStage{key: rank.KeyOf(now, rank.Claim{
+			Priority: que.Priority, Objective: stg.job.objective, Remaining: stg.job.remaining,
+			IsLasting: stg.step.IsLasting, IsHelper: stg.step.IsBackground,
+			Submitted: stg.job.accepted, HasStarted: stg.job.isBegun,
+		}), stg: stg})
+	}
+	slices.SortFunc(list, func(one, two rankedStage) int { return rank.Compare(one.key, two.key) })
+	stages := make([]*stage, len(list))
+	for i := range list {
+		stages[i] = list[i].stg
+	}
+	return stages
+}
+
+func (cel *Cell) placeStage(now time.Time, stg *stage, orders []Order) []Order {
+	if !cel.isAllowed(stg) {
+		return orders
+	}
+	if stg.step.IsGang {
+		return cel.placeGang(now, stg, orders)
+	}
+	for i := range stg.works {
+		wrk := &stg.works[i]
+		if wrk.phase != waiting {
+			continue
+		}
+		mac := cel.choose(now, stg, wrk)
+		if mac == nil {
+			break // the other tasks of the stage need as much
+		}
+		orders = append(orders, cel.start(now, mac, wrk, cel.nextRun(wrk)))
+	}
+	return orders
+}
+
+// isAllowed reports whether the configuration in force still sends the queue here.
+func (cel *Cell) isAllowed(stg *stage) bool {
+	que, ok := cel.queueOf(stg.job.queue)
+	return !ok || que.Service == cel.cfg.Name
+}
+
+// placeGang starts all tasks of the stage or none.
+func (cel *Cell) placeGang(now time.Time, stg *stage, orders []Order) []Order {
+	if stg.waitCount < len(stg.works) {
+		return orders // members of the last run have not ended yet
+	}
+	run := cel.cfg.RunBase
+	for i := range stg.works {
+		run = max(run, stg.works[i].run)
+	}
+	picks := cel.reserve(now, stg)
+	if picks == nil {
+		return orders
+	}
+	for i := range stg.works {
+		stg.works[i].checkpoint = stg.works[0].checkpoint // all members resume from the same point
+		orders = append(orders, cel.start(now, picks[i], &stg.works[i], run+1))
+	}
+	return orders
+}
+
+// reserve returns a VM for each task of the stage, or nil when not all fit.
+func (cel *Cell) reserve(now time.Time, stg *stage) []*machine {
+	picks := make([]*machine, 0, len(stg.works))
+	for i := range stg.works {
+		mac := cel.choose(now, stg, &stg.works[i])
+		if mac == nil {
+			break
+		}
+		mac.add(&stg.works[i])
+		picks = append(picks, mac)
+	}
+	for i, mac := range picks {
+		mac.remove(&stg.works[i])
+	}
+	if len(picks) < len(stg.works) {
+		return nil
+	}
+	return picks
+}
+
+func (cel *Cell) nextRun(wrk *work) int { return max(wrk.run, cel.cfg.RunBase) + 1 }
+
+// choose returns the VM for the task, or nil.
+func (cel *Cell) choose(now time.Time, stg *stage, wrk *work) *machine {
+	var best *machine
+	var bestCost float64
+	for _, mac := range cel.vms {
+		if !cel.isUsable(now, mac, stg) {
+			continue
+		}
+		cost := fit.Score(stg.step, fit.Candidate{
+			Room: mac.room(), Capacity: mac.host.Capacity, IsNear: mac.host.Has(stg.step.Rack),
+			IsAvoided: wrk.avoid == mac.host.ID, Serving: mac.serving, Helpers: mac.helpers, Same: mac.perStage[stg],
+		})
+		if best == nil || cost < bestCost || cost == bestCost && mac.host.ID < best.host.ID {
+			best, bestCost = mac, cost
+		}
+	}
+	return best
+}
+
+// isUsable reports whether the VM may take a task of the stage now.
+func (cel *Cell) isUsable(now time.Time, mac *machine, stg *stage) bool {
+	switch {
+	case !mac.isHeld || mac.host.IsDraining || mac.isLeaving || !mac.isListed:
+		return false
+	case now.Before(mac.quietUntil) || now.Sub(mac.heardAt) > staleAfter:
+		return false
+	case !counted(stg.step).Fits(mac.room()) || !mac.host.Has(stg.step.Label):
+		return false
+	}
+	return stg.step.MaxPerVM == 0 || mac.perStage[stg] < stg.step.MaxPerVM
+}
+
+// staleAfter is how long a VM may be silent before it gets no more work: a poll
+// of two seconds and one retry.
+const staleAfter = 3500 * time.Millisecond
+
+func (cel *Cell) start(now time.Time, mac *machine, wrk *work, run int) Order {
+	wrk.run, wrk.phase, wrk.startSent, wrk.answered, wrk.isDoubtful = run, starting, now, time.Time{}, false
+	wrk.step.waitCount--
+	mac.add(wrk)
+	ent := wrk.step.job
+	if !ent.isBegun {
+		ent.isBegun = true
+		cel.cfg.Event(now, "jobBegun", slog.String("job", ent.plan.ID), slog.String("vm", mac.host.ID),
+			slog.Duration("waited", now.Sub(ent.accepted)))
+	}
+	return Order{Kind: StartTask, Target: cel.target(mac), Task: wrk.id, Run: run, Start: agent.Start{
+		Task: wrk.id, Run: run, Spec: ent.plan.Spec, Until: cel.grant(now, mac), Checkpoint: wrk.checkpoint,
+	}}
+}
+
+// Started takes in the outcome of a start.
+func (cel *Cell) Started(now time.Time, ord Order, out agent.Outcome) {
+	wrk := cel.find(ord.Task)
+	if wrk == nil || wrk.vm == nil || wrk.vm.host.ID != ord.Target.VM || wrk.run != ord.Run || wrk.phase == done {
+		return
+	}
+	mac := wrk.vm
+	wrk.answered = now
+	switch out {
+	case agent.Done:
+		if wrk.phase == starting {
+			wrk.phase = running
+		}
+		wrk.isDoubtful = false
+		return
+	case agent.Unknown:
+		wrk.isDoubtful = true
+		return
+	case agent.Unwell:
+		mac.quietUntil = now.Add(unwellPause)
+	case agent.Reborn:
+		mac.isHeld = false
+	}
+	cel.cfg.Event(now, "startRefused", slog.String("task", wrk.id.String()), slog.String("vm", mac.host.ID),
+		slog.Int("run", ord.Run), slog.Int("outcome", int(out)))
+	cel.release(wrk)
+}
+
+// Stopped takes in the outcome of a stop.
+func (cel *Cell) Stopped(now time.Time, ord Order, out agent.Outcome) {
+	wrk := cel.find(ord.Task)
+	if wrk == nil || wrk.vm == nil || wrk.vm.host.ID != ord.Target.VM || wrk.run != ord.Run || wrk.phase != stopping {
+		return
+	}
+	if out == agent.Done {
+		wrk.stopAcked = now
+	}
+}
--- /dev/null
+++ b/internal/schedule/cell/report.go
@@ -0,0 +1,408 @@
+package cell
+
+import (
+	"log/slog"
+	"time"
+
+	"daisywheel/internal/fleet/agent"
+	"daisywheel/internal/fleet/host"
+	"daisywheel/internal/job/task"
+	"daisywheel/internal/schedule/ledger"
+)
+
+// SetHosts takes in the VMs that the platform lists for the pool. A VM that is
+// no longer listed is kept while it answers or while its tasks may run.
+func (cel *Cell) SetHosts(now time.Time, hosts []host.Host) {
+	listed := make(map[string]bool, len(hosts))
+	for _, hst := range hosts {
+		listed[hst.ID] = true
+		mac, ok := cel.vms[hst.ID]
+		if !ok {
+			mac = newMachine(hst)
+			cel.vms[hst.ID] = mac
+			cel.cfg.Event(now, "vmListed", slog.String("vm", hst.ID), slog.String("zone", hst.Zone), slog.Int64("born", hst.Born))
+		}
+		if mac.host.IsDraining != hst.IsDraining {
+			cel.cfg.Event(now, "vmDraining", slog.String("vm", hst.ID), slog.Bool("draining", hst.IsDraining))
+		}
+		mac.host, mac.isListed, mac.listedLast = hst, true, now
+		if hst.Born != 0 && mac.born != 0 && hst.Born > mac.born {
+			cel.reborn(now, mac, hst.Born)
+		}
+	}
+	for id, mac := range cel.vms {
+		if listed[id] || !mac.isListed {
+			continue
+		}
+		mac.isListed = false
+		cel.cfg.Event(now, "vmUnlisted", slog.String("vm", id), slog.Int("tasks", len(mac.works)))
+	}
+}
+
+// reborn takes in that the VM has started anew: what ran there has ended. A
+// start without an answer may still reach the new life, so it is stopped there.
+func (cel *Cell) reborn(now time.Time, mac *machine, born int64) {
+	cel.cfg.Event(now, "vmReborn", slog.String("vm", mac.host.ID), slog.Int64("born", born), slog.Int("tasks", len(mac.works)))
+	mac.born, mac.isHeld, mac.seen, mac.acked = born, false, 0, 0
+	clear(mac.strays)
+	for _, wrk := range mac.works {
+		if wrk.phase == starting || wrk.isDoubtful {
+			cel.stop(wrk)
+			wrk.stopAcked = time.Time{}
+			continue
+		}
+		cel.release(wrk)
+	}
+}
+
+// release makes a task whose run has ended wait again.
+func (cel *Cell) release(wrk *work) {
+	if wrk.vm != nil {
+		wrk.vm.remove(wrk)
+	}
+	if wrk.phase != waiting && wrk.phase != done {
+		wrk.step.waitCount++
+	}
+	if wrk.phase != done {
+		wrk.phase = waiting
+	}
+	wrk.isDoubtful, wrk.percent, wrk.load, wrk.pace = false, 0, 0, fullPace
+}
+
+// stop marks a run for stopping; its room stays taken.
+func (cel *Cell) stop(wrk *work) {
+	if wrk.phase == stopping || wrk.vm == nil {
+		return
+	}
+	wrk.phase, wrk.stopSent, wrk.stopAcked = stopping, time.Time{}, time.Time{}
+}
+
+// Lapse takes in the passage of time: leases that have run out, VMs that are
+// gone, occurrences that are due, and ended jobs that need not be kept.
+func (cel *Cell) Lapse(now time.Time) {
+	for id, mac := range cel.vms {
+		isSilent := now.After(mac.leaseEnd)
+		if isSilent && len(mac.works) > 0 {
+			cel.cfg.Event(now, "vmLapsed", slog.String("vm", id), slog.Int("tasks", len(mac.works)),
+				slog.Duration("silent", now.Sub(mac.heardAt)))
+			for _, wrk := range mac.works {
+				cel.release(wrk)
+			}
+			clear(mac.strays)
+		}
+		if isSilent && !mac.isListed && now.Sub(mac.heardAt) > leaseBound(cel.cfg.LeaseMax) {
+			delete(cel.vms, id)
+			cel.cfg.Event(now, "vmGone", slog.String("vm", id))
+		}
+	}
+	for _, ent := range cel.jobs {
+		if ent.nextRound < len(ent.rounds) {
+			cel.openDue(now, ent)
+		}
+	}
+}
+
+// Forget drops ended jobs that need not be answered any more and returns their ids.
+func (cel *Cell) Forget(now time.Time) []string {
+	var gone []string
+	for len(cel.ended) > 0 {
+		ent := cel.jobs[cel.ended[0]]
+		if now.Sub(ent.endedAt) < 2*cel.cfg.StatusKept || ent.isDirty || ent.held > 0 {
+			break
+		}
+		gone = append(gone, ent.plan.ID)
+		delete(cel.jobs, ent.plan.ID)
+		cel.ended = cel.ended[1:]
+	}
+	return gone
+}
+
+// Hold returns the renewal to send to a VM, and its target.
+func (cel *Cell) Hold(now time.Time, id string, wait time.Duration) (agent.Target, agent.Hold, bool) {
+	mac, ok := cel.vms[id]
+	if !ok {
+		return agent.Target{}, agent.Hold{}, false
+	}
+	hld := agent.Hold{Acked: mac.acked}
+	if mac.isHeld {
+		hld.Wait, hld.Until = wait, cel.grant(now, mac)
+	}
+	return cel.target(mac), hld, true
+}
+
+func (cel *Cell) target(mac *machine) agent.Target {
+	return agent.Target{VM: mac.host.ID, Address: mac.host.Address, Fence: cel.cfg.Fence}
+}
+
+// grant returns the time on the VM's clock up to which its tasks may run, and
+// notes until when they may run on our clock.
+func (cel *Cell) grant(now time.Time, mac *machine) time.Duration {
+	mac.leaseEnd = later(mac.leaseEnd, now.Add(leaseBound(cel.cfg.LeaseMax)))
+	return mac.clock + now.Sub(mac.clockAt) + cel.cfg.LeaseMax
+}
+
+func later(one, two time.Time) time.Time {
+	if one.After(two) {
+		return one
+	}
+	return two
+}
+
+// Report takes in what a VM says. Sent is when the question was sent.
+func (cel *Cell) Report(now, sent time.Time, id string, rpt agent.Report) {
+	mac, ok := cel.vms[id]
+	if !ok {
+		return
+	}
+	if rpt.Born != 0 && mac.born != 0 && rpt.Born < mac.born {
+		return // an answer of an earlier life
+	}
+	if rpt.Born != 0 && rpt.Born > mac.born {
+		if mac.born != 0 {
+			cel.reborn(now, mac, rpt.Born)
+		}
+		mac.born = rpt.Born
+	}
+	if !mac.isHeld {
+		mac.isHeld = true
+		mac.leaseEnd = later(mac.leaseEnd, now.Add(leaseBound(cel.cfg.LeaseMax)))
+		cel.cfg.Event(now, "vmHeld", slog.String("vm", id), slog.Int64("fence", cel.cfg.Fence),
+			slog.Int("active", len(rpt.Active)), slog.Int("ended", len(rpt.Ended)))
+	}
+	mac.clock, mac.clockAt, mac.heardAt = rpt.Clock, now, now
+	for _, end := range rpt.Ended {
+		if end.Number > mac.seen {
+			mac.seen = end.Number
+			cel.takeEnd(now, mac, end)
+		}
+	}
+	listed := make(map[task.ID]int, len(rpt.Active))
+	for _, run := range rpt.Active {
+		listed[run.Task] = run.Number
+		cel.takeRun(mac, sent, run)
+	}
+	cel.takeAbsent(now, sent, mac, listed)
+}
+
+// find returns the work with the id, if its occurrence is open.
+func (cel *Cell) find(tid task.ID) *work {
+	ent, ok := cel.jobs[tid.Job]
+	if !ok || tid.Occurrence >= len(ent.rounds) || tid.Step >= len(ent.plan.Steps) {
+		return nil
+	}
+	rnd := ent.rounds[tid.Occurrence]
+	if rnd == nil || tid.Index >= len(rnd.stages[tid.Step].works) {
+		return nil
+	}
+	return &rnd.stages[tid.Step].works[tid.Index]
+}
+
+// takeRun takes in that a run is active on the VM.
+func (cel *Cell) takeRun(mac *machine, sent time.Time, run agent.Run) {
+	wrk := cel.find(run.Task)
+	switch {
+	case wrk == nil || wrk.phase == done || wrk.step.job.state.IsEnded() && wrk.vm == nil:
+		cel.addStray(mac, run)
+	case wrk.vm == mac && wrk.run == run.Number:
+		cel.seeRunning(wrk, sent, run)
+	case wrk.vm == nil && run.Number >= wrk.run && wrk.step.isOpen:
+		cel.adopt(mac, wrk, run)
+	default:
+		cel.addStray(mac, run)
+	}
+}
+
+func (cel *Cell) addStray(mac *machine, run agent.Run) {
+	key := stray{run.Task, run.Number}
+	if mac.strays[key] == nil {
+		mac.strays[key] = &strayStop{}
+	}
+}
+
+func (cel *Cell) seeRunning(wrk *work, sent time.Time, run agent.Run) {
+	if wrk.phase == starting && (wrk.isDoubtful || wrk.answered.IsZero()) {
+		wrk.phase, wrk.answered, wrk.isDoubtful = running, sent, false
+	}
+	if run.Checkpoint != "" {
+		wrk.checkpoint = run.Checkpoint
+	}
+	wrk.percent, wrk.load = run.Percent, run.Load
+}
+
+// adopt takes over a run that an earlier owner has started.
+func (cel *Cell) adopt(mac *machine, wrk *work, run agent.Run) {
+	wrk.run, wrk.phase, wrk.answered = run.Number, running, mac.heardAt
+	wrk.step.waitCount--
+	mac.add(wrk)
+	wrk.step.job.isBegun = true
+	wrk.pace = unknownPace
+	cel.seeRunning(wrk, mac.heardAt, run)
+}
+
+// unknownPace marks a task whose pace an earlier owner may have set.
+const unknownPace = -1
+
+// takeAbsent finds works that the VM should list and does not.
+func (cel *Cell) takeAbsent(now, sent time.Time, mac *machine, listed map[task.ID]int) {
+	for tid, wrk := range mac.works {
+		if num, ok := listed[tid]; ok && num == wrk.run {
+			continue
+		}
+		switch {
+		case wrk.phase == stopping && !wrk.stopAcked.IsZero() && sent.After(wrk.stopAcked):
+			cel.release(wrk)
+		case wrk.phase == starting && wrk.isDoubtful && sent.After(wrk.answered):
+			cel.stop(wrk) // it may still arrive
+		case wrk.phase == running && sent.After(wrk.answered):
+			cel.cfg.Event(now, "runVanished", slog.String("task", tid.String()), slog.String("vm", mac.host.ID))
+			cel.stop(wrk)
+		}
+	}
+	for key, stp := range mac.strays {
+		if num, ok := listed[key.task]; ok && num == key.run {
+			continue
+		}
+		if !stp.sentAt.IsZero() && sent.After(stp.sentAt) {
+			delete(mac.strays, key)
+		}
+	}
+}
+
+// takeEnd takes in the end of a run.
+func (cel *Cell) takeEnd(now time.Time, mac *machine, end agent.End) {
+	delete(mac.strays, stray{end.Task, end.Run})
+	wrk := cel.find(end.Task)
+	if wrk == nil || wrk.phase == done {
+		return
+	}
+	isCurrent := wrk.vm == mac && wrk.run == end.Run
+	if end.Checkpoint != "" && (isCurrent || wrk.vm == nil && end.Run >= wrk.run) {
+		wrk.checkpoint = end.Checkpoint
+	}
+	switch end.How {
+	case agent.EndedDone:
+		mac.streak = 0
+		cel.taskDone(now, wrk, mac)
+		return
+	case agent.EndedFailed:
+		cel.taskFailed(now, wrk, mac, end.Run)
+	}
+	if end.Run > wrk.run && wrk.vm == nil {
+		wrk.run = end.Run
+	}
+	if isCurrent {
+		cel.release(wrk)
+	}
+}
+
+func (cel *Cell) taskFailed(now time.Time, wrk *work, mac *machine, run int) {
+	if run <= wrk.failedRun || wrk.step.job.state.IsEnded() {
+		return
+	}
+	wrk.failedRun, wrk.avoid = run, mac.host.ID
+	ent := wrk.step.job
+	if !wrk.step.step.IsLasting {
+		wrk.failures++
+		cel.markDirty(ent)
+	}
+	if mac.streak++; mac.streak >= streakLimit {
+		mac.quietUntil = now.Add(streakPause)
+		cel.cfg.Event(now, "vmQuarantined", slog.String("vm", mac.host.ID), slog.Int("streak", mac.streak))
+	}
+	que, _ := cel.queueOf(ent.queue)
+	cel.cfg.Event(now, "taskFailed", slog.String("task", wrk.id.String()), slog.String("vm", mac.host.ID),
+		slog.Int("run", run), slog.Int("failures", wrk.failures), slog.Int("limit", que.MaxAttempts))
+	if !wrk.step.step.IsLasting && wrk.failures >= que.MaxAttempts {
+		cel.endJob(now, ent, ledger.Failed, "attempts")
+		cel.stopAll(ent)
+	}
+}
+
+// stopAll stops what still runs of a job that has ended.
+func (cel *Cell) stopAll(ent *entry) {
+	for _, rnd := range ent.rounds {
+		if rnd == nil {
+			continue
+		}
+		for _, stg := range rnd.stages {
+			for i := range stg.works {
+				cel.stop(&stg.works[i])
+			}
+		}
+	}
+}
+
+// taskDone takes in that a task is done, by whichever run.
+func (cel *Cell) taskDone(now time.Time, wrk *work, mac *machine) {
+	stg := wrk.step
+	if stg.step.IsLasting {
+		if wrk.vm == mac {
+			cel.release(wrk)
+		}
+		return
+	}
+	if wrk.vm != nil && wrk.vm != mac {
+		// Another copy still runs; it is stopped as a stray once it is listed.
+		wrk.vm.strays[stray{wrk.id, wrk.run}] = &strayStop{}
+	}
+	cel.settleDone(wrk)
+	if stg.step.IsGang {
+		for i := range stg.works {
+			if stg.works[i].phase != done {
+				cel.settleDone(&stg.works[i])
+			}
+		}
+	}
+	if stg.job.state.IsEnded() {
+		return
+	}
+	cel.markDirty(stg.job)
+	if stg.isDone() {
+		cel.stageDone(now, stg)
+	}
+}
+
+func (cel *Cell) settleDone(wrk *work) {
+	if wrk.phase == waiting {
+		wrk.step.waitCount--
+	}
+	if wrk.vm != nil {
+		wrk.vm.remove(wrk)
+	}
+	wrk.phase = done
+	wrk.step.doneCount++
+}
+
+func (cel *Cell) stageDone(now time.Time, stg *stage) {
+	ent := stg.job
+	delete(cel.open, stg)
+	rnd := ent.rounds[stg.occurrence]
+	rnd.left--
+	if rnd.left > 0 {
+		ent.remaining = remaining(ent.plan, rnd)
+		for _, next := range rnd.stages {
+			cel.openIfReady(rnd, next)
+		}
+		return
+	}
+	ent.roundsDone++
+	ent.doneRounds = append(ent.doneRounds, stg.occurrence)
+	if ent.roundsDone == len(ent.rounds) {
+		cel.endJob(now, ent, ledger.Completed, "done")
+	}
+}
+
+// Replaced takes in that another VM answers at the address: the life has ended
+// with all that ran there.
+func (cel *Cell) Replaced(now time.Time, id string) {
+	mac, ok := cel.vms[id]
+	if !ok {
+		return
+	}
+	cel.cfg.Event(now, "vmReplaced", slog.String("vm", id), slog.Int("tasks", len(mac.works)))
+	for _, wrk := range mac.works {
+		cel.release(wrk)
+	}
+	clear(mac.strays)
+	delete(cel.vms, id)
+}
--- /dev/null
+++ b/internal/schedule/cell/state.go
@@ -0,0 +1,164 @@
+package cell
+
+import (
+	"time"
+
+	"daisywheel/internal/fleet/host"
+	"daisywheel/internal/job/plan"
+	"daisywheel/internal/job/task"
+	"daisywheel/internal/schedule/ledger"
+)
+
+// phase is where a task stands.
+type phase int
+
+const (
+	waiting  phase = iota
+	starting       // the start was sent and has no answer yet
+	running
+	stopping // its room is free when the VM no longer lists it
+	done
+)
+
+// work is one task and its current run.
+type work struct {
+	step       *stage
+	id         task.ID
+	phase      phase
+	vm         *machine // while starting, running or stopping
+	run        int      // number of the current or last run
+	checkpoint string
+	startSent  time.Time
+	answered   time.Time // when the start's outcome was known; zero before
+	isDoubtful bool      // the start got no answer
+	stopSent   time.Time
+	stopAcked  time.Time
+	failures   int
+	failedRun  int    // highest run whose failure is counted
+	avoid      string // VM of the last failure
+	percent    int
+	load       int
+	pace       int       // share at which it is let work, in percent
+	pacedAt    time.Time // report that the pace answers
+}
+
+// stage is one step of one occurrence.
+type stage struct {
+	job        *entry
+	step       *plan.Step
+	occurrence int
+	num        int
+	works      []work
+	doneCount  int
+	waitCount  int // works in phase waiting
+	isOpen     bool
+}
+
+// isDone reports whether all tasks of the stage are done.
+func (stg *stage) isDone() bool { return stg.doneCount == len(stg.works) }
+
+// round is one occurrence of a job.
+type round struct {
+	stages []*stage
+	left   int // stages that are not done
+}
+
+// entry is one job.
+type entry struct {
+	plan       *plan.Plan
+	queue      string
+	accepted   time.Time
+	objective  time.Time
+	rounds     []*round // nil while not due, or after it is done
+	roundsDone int
+	nextRound  int
+	state      ledger.State
+	recorded   ledger.State // what the store holds
+	endedAt    time.Time
+	remaining  time.Duration
+	isOld      bool // stored before this owner's term
+	isDirty    bool
+	isBegun    bool // a task has been started
+	held       int  // works on VMs
+	// doneRounds are the occurrences that are done, for the record.
+	doneRounds []int
+}
+
+// machine is one life of a VM.
+type machine struct {
+	host       host.Host
+	isListed   bool
+	isHeld     bool // it has answered this owner
+	isLeaving  bool // it is to be emptied for maintenance or a move
+	born       int64
+	clock      time.Duration // at clockAt
+	clockAt    time.Time
+	leaseEnd   time.Time // what runs there has ended by then, unless more is sent
+	heardAt    time.Time
+	used       plan.Demand
+	works      map[task.ID]*work
+	perStage   map[*stage]int
+	serving    int
+	helpers    int
+	strays     map[stray]*strayStop
+	seen       int64 // newest end that was taken in
+	acked      int64 // newest end whose effect is stored
+	streak     int   // failures in a row
+	quietUntil time.Time
+	listedLast time.Time
+}
+
+// stray is a run that is not wanted where it runs.
+type stray struct {
+	task task.ID
+	run  int
+}
+
+type strayStop struct{ sentAt time.Time }
+
+func newMachine(hst host.Host) *machine {
+	return &machine{
+		host: hst, works: map[task.ID]*work{}, perStage: map[*stage]int{}, strays: map[stray]*strayStop{},
+	}
+}
+
+// counted returns what a task takes of the VM's capacity.
+func counted(stp *plan.Step) plan.Demand {
+	dmd := stp.Demand
+	if stp.IsBackground {
+		dmd.MilliCores = 0
+	}
+	return dmd
+}
+
+func (mac *machine) room() plan.Demand { return mac.host.Capacity.Minus(mac.used) }
+
+func (mac *machine) add(wrk *work) {
+	wrk.vm = mac
+	mac.works[wrk.id] = wrk
+	mac.perStage[wrk.step]++
+	mac.used = mac.used.Plus(counted(wrk.step.step))
+	wrk.step.job.held++
+	if wrk.step.step.Goal > 0 {
+		mac.serving++
+	}
+	if wrk.step.step.IsBackground {
+		mac.helpers++
+	}
+}
+
+func (mac *machine) remove(wrk *work) {
+	delete(mac.works, wrk.id)
+	if mac.perStage[wrk.step]--; mac.perStage[wrk.step] == 0 {
+		delete(mac.perStage, wrk.step)
+	}
+	mac.used = mac.used.Minus(counted(wrk.step.step))
+	wrk.step.job.held--
+	if wrk.step.step.Goal > 0 {
+		mac.serving--
+	}
+	if wrk.step.step.IsBackground {
+		mac.helpers--
+	}
+	wrk.vm = nil
+}
--- /dev/null
+++ b/internal/schedule/fit/fit.go
@@ -0,0 +1,55 @@
+// Package fit chooses the VM for a task among those that have room. Finite work
+// is packed on the fullest VM that holds it, which leaves whole VMs free for
+// large tasks, maintenance and moves. Background work avoids VMs with tasks
+// that serve users, since it slows them down.
+package fit
+
+import "daisywheel/internal/job/plan"
+
+// Candidate is a VM that may take the task.
+type Candidate struct {
+	Room      plan.Demand
+	Capacity  plan.Demand
+	IsNear    bool // the task's data lies in the VM's rack, or it has no preference
+	IsAvoided bool // the last run of the task failed there
+	Serving   int  // tasks with a bound on their tail
+	Helpers   int  // background tasks
+	Same      int  // tasks of the same step
+}
+
+// Weights of the score, in parts of a whole VM's cores.
+const (
+	farWeight     = 2  // a far run takes remote_factor (1.5) times as long, worse than any packing
+	avoidWeight   = 4  // a VM that just failed the task is the last choice
+	servingWeight = 1  // one neighbour that serves counts as a whole VM's room
+	sameWeight    = .5 // spreads a lasting step over VMs
+)
+
+// Score returns the cost of placing the task there; the lowest is best.
+func Score(stp *plan.Step, cnd Candidate) float64 {
+	cost := 0.0
+	if !cnd.IsNear {
+		cost += farWeight
+	}
+	if cnd.IsAvoided {
+		cost += avoidWeight
+	}
+	free := share(cnd.Room.MilliCores, cnd.Capacity.MilliCores)
+	if stp.IsBackground {
+		return cost + servingWeight*float64(cnd.Serving) + float64(cnd.Helpers) - free
+	}
+	if stp.IsLasting {
+		cost += sameWeight * float64(cnd.Same)
+	}
+	if stp.Goal > 0 {
+		cost += servingWeight * float64(cnd.Helpers)
+	}
+	return cost + free
+}
+
+func share(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
--- /dev/null
+++ b/internal/schedule/gateway/gateway.go
@@ -0,0 +1,268 @@
+// Package gateway takes callers' requests at any entry to the owner of the pool:
+// in this process, over the peer link or, for states, by what the store holds.
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"sync"
+	"time"
+
+	"daisywheel/internal/event/journal"
+	"daisywheel/internal/fleet/queue"
+	"daisywheel/internal/job/plan"
+	"daisywheel/internal/peer/link"
+	"daisywheel/internal/result/code"
+	"daisywheel/internal/result/fault"
+	"daisywheel/internal/schedule/archive"
+	"daisywheel/internal/schedule/group"
+	"daisywheel/internal/schedule/ledger"
+	"daisywheel/internal/schedule/owner"
+)
+
+// Times of a request.
+const (
+	// patience is how long a request looks for an owner: a membership lapses after
+	// 2 s, but most changes of owner are handed over in less than half of it.
+	patience = 900 * time.Millisecond
+	// retryPause is the pause before an owner is looked for again.
+	retryPause = 60 * time.Millisecond
+	// askTimeout bounds the wait for the answer of an owner.
+	askTimeout = 1500 * time.Millisecond
+)
+
+// Names of the methods between entries.
+const (
+	methodSubmit = "job.submit"
+	methodState  = "job.state"
+	methodCancel = "job.cancel"
+	methodQueued = "queue.waiting"
+)
+
+// Config holds what a Gateway needs.
+type Config struct {
+	Address    string // of this entry's peer link
+	Partitions int
+	Link       *link.Link
+	Archive    archive.Client
+	Journal    *journal.Journal
+	// Local returns the owner of the pool in this process, or nil.
+	Local func(service string) *owner.Owner
+}
+
+// Gateway is the way to the owners. It is safe for concurrent use.
+type Gateway struct {
+	cfg    Config
+	mu     sync.Mutex
+	owners map[string]string
+}
+
+// New returns a Gateway and registers its methods on the link.
+func New(cfg Config) *Gateway {
+	gtw := &Gateway{cfg: cfg, owners: map[string]string{}}
+	cfg.Link.Handle(methodSubmit, gtw.serveSubmit)
+	cfg.Link.Handle(methodState, gtw.serveState)
+	cfg.Link.Handle(methodCancel, gtw.serveCancel)
+	cfg.Link.Handle(methodQueued, gtw.serveQueued)
+	return gtw
+}
+
+// ask is the question of one entry to another.
+type ask struct {
+	Service string          `json:"service"`
+	Queue   string          `json:"queue,omitempty"`
+	ID      string          `json:"id,omitempty"`
+	Job     json.RawMessage `json:"job,omitempty"`
+}
+
+// reply is the answer.
+type reply struct {
+	IsFound bool         `json:"isFound"`
+	State   ledger.State `json:"state"`
+	Count   int          `json:"count"`
+}
+
+// Submit stores a job with the owner of the queue's pool. A fault with the code
+// OutcomeUnknown means that it may be stored; any other that it is not.
+func (gtw *Gateway) Submit(ctx context.Context, now time.Time, que queue.Queue, pln *plan.Plan) error {
+	job, err := ledger.EncodeJob(ledger.Job{Plan: pln, Queue: que.Name, Accepted: now})
+	if err != nil {
+		return fault.Wrap(err, code.BadShape, "job cannot be stored")
+	}
+	_, err = gtw.call(ctx, methodSubmit, ask{Service: que.Service, Queue: que.Name, Job: job}, func(own *owner.Owner) (reply, error) {
+		return reply{}, own.Submit(ctx, now, pln, que.Name)
+	})
+	return err
+}
+
+// State returns the state of a job. A job that the owner does not know is looked
+// up in the store, so that its absence is proved.
+func (gtw *Gateway) State(ctx context.Context, que queue.Queue, id string) (ste ledger.State, found bool, err error) {
+	rep, err := gtw.call(ctx, methodState, ask{Service: que.Service, ID: id}, func(own *owner.Owner) (reply, error) {
+		ste, ok, err := own.State(id)
+		return reply{IsFound: ok, State: ste}, err
+	})
+	if err == nil && rep.IsFound {
+		return rep.State, true, nil
+	}
+	part := group.PartitionOf(que.Service, gtw.cfg.Partitions)
+	ste, found, lookErr := owner.Lookup(ctx, gtw.cfg.Archive, que.Service, part, id)
+	if lookErr != nil {
+		return 0, false, fault.Wrap(lookErr, code.LogUnavailable, "state of job %s", id)
+	}
+	return ste, found, nil
+}
+
+// Cancel ends a job.
+func (gtw *Gateway) Cancel(ctx context.Context, now time.Time, que queue.Queue, id string) (found bool, err error) {
+	rep, err := gtw.call(ctx, methodCancel, ask{Service: que.Service, ID: id}, func(own *owner.Owner) (reply, error) {
+		found, err := own.Cancel(ctx, now, id)
+		return reply{IsFound: found}, err
+	})
+	if err != nil || rep.IsFound {
+		return rep.IsFound, err
+	}
+	part := group.PartitionOf(que.Service, gtw.cfg.Partitions)
+	_, found, err = owner.Lookup(ctx, gtw.cfg.Archive, que.Service, part, id)
+	if err != nil {
+		return false, fault.Wrap(err, code.LogUnavailable, "state of job %s", id)
+	}
+	if found {
+		return true, fault.New(code.NotReady, "the owner of the pool does not know job %s yet", id)
+	}
+	return false, nil
+}
+
+// Queued returns how many jobs of the queue have not begun.
+func (gtw *Gateway) Queued(ctx context.Context, que queue.Queue) (int, error) {
+	rep, err := gtw.call(ctx, methodQueued, ask{Service: que.Service, Queue: que.Name}, func(own *owner.Owner) (reply, error) {
+		return reply{Count: own.Queued(que.Name)}, nil
+	})
+	return rep.Count, err
+}
+
+// call asks the owner, wherever it is, and looks for it anew while none is found.
+func (gtw *Gateway) call(ctx context.Context, method string, ask ask, local func(*owner.Owner) (reply, error)) (reply, error) {
+	began := time.Now()
+	var err error
+	for isFirst := true; ; isFirst = false {
+		var rep reply
+		rep, err = gtw.callOnce(ctx, method, ask, local)
+		if err == nil || !isElsewhere(err) {
+			return rep, err
+		}
+		if !isFirst && time.Since(began) > patience || ctx.Err() != nil {
+			break
+		}
+		if !isFirst {
+			sleep(ctx, retryPause)
+		}
+		gtw.find(ctx, ask.Service)
+	}
+	return reply{}, err
+}
+
+func sleep(ctx context.Context, wait time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
+
+// isElsewhere reports whether the asked entry is certainly not the owner.
+func isElsewhere(err error) bool { return fault.CodeOf(err) == code.NotReady }
+
+func (gtw *Gateway) callOnce(ctx context.Context, method string, ask ask, local func(*owner.Owner) (reply, error)) (reply, error) {
+	if own := gtw.cfg.Local(ask.Service); own != nil {
+		return local(own)
+	}
+	gtw.mu.Lock()
+	address := gtw.owners[ask.Service]
+	gtw.mu.Unlock()
+	if address == "" || address == gtw.cfg.Address {
+		return reply{}, fault.New(code.NotReady, "the pool %s has no owner that is known here", ask.Service)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	if err := gtw.cfg.Link.Connect(callCtx, address); err != nil {
+		return reply{}, fault.Wrap(err, code.NotReady, "owner of the pool %s", ask.Service)
+	}
+	var rep reply
+	err := gtw.cfg.Link.Call(callCtx, address, method, ask, &rep)
+	if err != nil && fault.CodeOf(err) == code.PlatformError {
+		// The connection failed or the time ran out: the call may have arrived.
+		return rep, fault.Wrap(err, code.OutcomeUnknown, "owner of the pool %s", ask.Service)
+	}
+	return rep, err
+}
+
+// find looks up who owns the pool.
+func (gtw *Gateway) find(ctx context.Context, service string) {
+	address, err := owner.Find(ctx, gtw.cfg.Archive, service)
+	if err != nil {
+		gtw.cfg.Journal.Warn(time.Now(), "ownerUnfound", slog.String("pool", service), slog.String("error", err.Error()))
+		return
+	}
+	gtw.mu.Lock()
+	defer gtw.mu.Unlock()
+	if gtw.owners[service] != address {
+		gtw.owners[service] = address
+		gtw.cfg.Journal.Event(time.Now(), "ownerFound", slog.String("pool", service), slog.String("address", address))
+	}
+}
+
+// local returns the owner that a peer asked for.
+func (gtw *Gateway) local(params json.RawMessage) (ask, *owner.Owner, error) {
+	var in ask
+	if err := json.Unmarshal(params, &in); err != nil {
+		return in, nil, fault.Wrap(err, code.BadShape, "peer's question")
+	}
+	own := gtw.cfg.Local(in.Service)
+	if own == nil {
+		return in, nil, fault.New(code.NotReady, "this entry does not own the pool %s", in.Service)
+	}
+	return in, own, nil
+}
+
+func (gtw *Gateway) serveSubmit(ctx context.Context, params json.RawMessage) (any, error) {
+	in, own, err := gtw.local(params)
+	if err != nil {
+		return nil, err
+	}
+	job, err := ledger.DecodeJob(in.Job)
+	if err != nil {
+		return nil, fault.Wrap(err, code.BadShape, "peer's job")
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return reply{}, own.Submit(ctx, time.Now(), job.Plan, in.Queue)
+}
+
+func (gtw *Gateway) serveState(_ context.Context, params json.RawMessage) (any, error) {
+	in, own, err := gtw.local(params)
+	if err != nil {
+		return nil, err
+	}
+	ste, ok, err := own.State(in.ID)
+	return reply{IsFound: ok, State: ste}, err
+}
+
+func (gtw *Gateway) serveCancel(ctx context.Context, params json.RawMessage) (any, error) {
+	in, own, err := gtw.local(params)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	found, err := own.Cancel(ctx, time.Now(), in.ID)
+	return reply{IsFound: found}, err
+}
+
+func (gtw *Gateway) serveQueued(_ context.Context, params json.RawMessage) (any, error) {
+	in, own, err := gtw.local(params)
+	if err != nil {
+		return nil, err
+	}
+	return reply{Count: own.Queued(in.Queue)}, nil
+}
--- /dev/null
+++ b/internal/schedule/owner/duties.go
@@ -0,0 +1,180 @@
+package owner
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"daisywheel/internal/fleet/agent"
+	"daisywheel/internal/schedule/cell"
+)
+
+const (
+	// planPause collects what arrives together before the next plan.
+	planPause = 2 * time.Millisecond
+	// holdWait is how long a VM holds back its answer when nothing ends there; it
+	// is the longest that VMs accept.
+	holdWait = 2 * time.Second
+	// holdPause is the least time between two looks at a VM.
+	holdPause = 40 * time.Millisecond
+	// holdRetry is the pause after a look that failed.
+	holdRetry = 250 * time.Millisecond
+	// holdSlack is added to the wait before a look counts as unanswered.
+	holdSlack = time.Second
+)
+
+// planLoop sends the cell's orders whenever something has changed.
+func (own *Owner) planLoop() {
+	for {
+		select {
+		case <-own.quit:
+			return
+		case <-own.kick:
+		}
+		if !pause(own.quit, planPause) {
+			return
+		}
+		now := time.Now()
+		own.mu.Lock()
+		orders := own.cel.Plan(now)
+		own.mu.Unlock()
+		for _, ord := range orders {
+			go own.send(ord)
+		}
+	}
+}
+
+// send carries one order to its VM and takes in the outcome.
+func (own *Owner) send(ord cell.Order) {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	sent := time.Now()
+	var out agent.Outcome
+	var err error
+	switch ord.Kind {
+	case cell.StartTask:
+		out, err = own.cfg.Agent.Start(ctx, ord.Target, ord.Start)
+	case cell.StopTask:
+		out, err = own.cfg.Agent.Stop(ctx, ord.Target, ord.Task, ord.Run)
+	case cell.PaceTask:
+		out, err = own.cfg.Agent.Pace(ctx, ord.Target, ord.Task, ord.Run, ord.Percent)
+	}
+	now := time.Now()
+	if err != nil {
+		own.cfg.Journal.Warn(now, "orderFailed", slog.String("task", ord.Task.String()), slog.Int("run", ord.Run),
+			slog.Int("order", int(ord.Kind)), slog.String("vm", ord.Target.VM), slog.Int("outcome", int(out)),
+			slog.Duration("after", now.Sub(sent)), slog.String("error", err.Error()))
+	}
+	if out == agent.Unknown {
+		own.cfg.Agent.Drop(ord.Target.Address)
+	}
+	if out == agent.Fenced {
+		own.setLost(now, "a VM has seen a higher token")
+	}
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	switch ord.Kind {
+	case cell.StartTask:
+		own.cel.Started(now, ord, out)
+	case cell.StopTask:
+		own.cel.Stopped(now, ord, out)
+	case cell.PaceTask:
+		own.cel.Paced(ord, out)
+	}
+	if out != agent.Done {
+		own.wake()
+	}
+}
+
+// tickLoop takes in the passage of time.
+func (own *Owner) tickLoop() {
+	tck := time.NewTicker(tick)
+	defer tck.Stop()
+	for {
+		select {
+		case <-own.quit:
+			return
+		case <-tck.C:
+		}
+		now := time.Now()
+		own.mu.Lock()
+		own.cel.Lapse(now)
+		if own.cel.HasChanges() {
+			own.requestFlush()
+		}
+		own.wake()
+		own.mu.Unlock()
+	}
+}
+
+// holdLoop renews the leases on a VM and takes in what it reports, until the
+// cell forgets the VM.
+func (own *Owner) holdLoop(id string) {
+	isWell := true
+	for !own.isEnding() {
+		now := time.Now()
+		own.mu.Lock()
+		tgt, hld, ok := own.cel.Hold(now, id, holdWait)
+		if !ok {
+			delete(own.holders, id)
+		}
+		own.mu.Unlock()
+		if !ok {
+			return
+		}
+		ended, err := own.hold(now, tgt, hld)
+		if isWell != (err == nil) {
+			isWell = err == nil
+			own.logHold(tgt, err)
+		}
+		wait := holdPause
+		if err != nil {
+			wait = holdRetry
+		} else if !ended {
+			wait = 0
+		}
+		if !pause(own.quit, wait) {
+			return
+		}
+	}
+}
+
+func (own *Owner) logHold(tgt agent.Target, err error) {
+	if err == nil {
+		own.event(time.Now(), "vmRegained", slog.String("vm", tgt.VM))
+		return
+	}
+	own.cfg.Journal.Warn(time.Now(), "vmUnanswered", slog.String("vm", tgt.VM), slog.String("error", err.Error()))
+}
+
+func (own *Owner) hold(sent time.Time, tgt agent.Target, hld agent.Hold) (ended bool, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), hld.Wait+holdSlack)
+	defer cancel()
+	rpt, out, err := own.cfg.Agent.Hold(ctx, tgt, hld)
+	now := time.Now()
+	switch out {
+	case agent.Fenced:
+		own.setLost(now, "a VM has seen a higher token")
+		return false, err
+	case agent.Reborn:
+		own.mu.Lock()
+		own.cel.Replaced(now, tgt.VM)
+		own.wake()
+		own.mu.Unlock()
+	case agent.Unknown:
+		own.cfg.Agent.Drop(tgt.Address)
+	}
+	if err != nil {
+		return false, errors.Wrap(err, "hold")
+	}
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	own.cel.Report(now, sent, tgt.VM, rpt)
+	own.wake()
+	if own.cel.HasUrgent() {
+		own.requestFlush()
+	}
+	return len(rpt.Ended) > 0, nil
+}
--- /dev/null
+++ b/internal/schedule/owner/owner.go
@@ -0,0 +1,390 @@
+// Package owner runs a cell for one term: it claims the pool, restores what is
+// stored, carries the cell's orders to the VMs and stores what they report.
+package owner
+
+import (
+	"context"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	"daisywheel/internal/event/journal"
+	"daisywheel/internal/fleet/agent"
+	"daisywheel/internal/fleet/host"
+	"daisywheel/internal/fleet/queue"
+	"daisywheel/internal/job/plan"
+	"daisywheel/internal/result/code"
+	"daisywheel/internal/result/fault"
+	"daisywheel/internal/schedule/archive"
+	"daisywheel/internal/schedule/cell"
+	"daisywheel/internal/schedule/ledger"
+)
+
+// Times of an owner.
+const (
+	// storeTimeout bounds one call to the store: its usual 4 ms, 200 times over.
+	storeTimeout = 900 * time.Millisecond
+	// storeRetry is the pause after a call to the store that failed.
+	storeRetry = 100 * time.Millisecond
+	// orderTimeout bounds one order to a VM.
+	orderTimeout = time.Second
+	// tick is how often the passage of time is taken in: a tenth of a second is
+	// well below the 250 ms by which a due task may be early or late.
+	tick = 100 * time.Millisecond
+	// stuckAfter is how long the store may take before new submissions are
+	// refused at once: longer than a usual append, shorter than callers wait.
+	stuckAfter = 400 * time.Millisecond
+)
+
+// Config holds what an Owner needs.
+type Config struct {
+	Service    string
+	Partition  int // of the topic of jobs
+	Address    string
+	LeaseMax   time.Duration
+	StatusKept time.Duration
+	Archive    archive.Client
+	Agent      agent.Client
+	Journal    *journal.Journal
+	Metrics    *metrics.Set
+	Table      *queue.Table
+}
+
+// Owner is the owner of a pool for one term. It is safe for concurrent use.
+type Owner struct {
+	cfg       Config
+	fence     int64
+	mu        sync.Mutex
+	cel       *cell.Cell
+	holders   map[string]chan struct{}
+	pending   map[string]*submission
+	queued    []*submission // not yet part of an append
+	waiters   []chan struct{}
+	stuck     time.Time // when the append in flight first failed; zero while all is well
+	kick      chan struct{}
+	flush     chan struct{}
+	quit      chan struct{}
+	lost      chan struct{}
+	closeOnce sync.Once
+	lostOnce  sync.Once
+	group     sync.WaitGroup
+	done      chan struct{}
+}
+
+// submission is a job that waits to be stored.
+type submission struct {
+	job    ledger.Job
+	err    error
+	stored chan struct{} // closed when the outcome is known
+}
+
+// Open claims the pool and restores its jobs. It fails when the store cannot be
+// reached or another owner claims the pool meanwhile.
+func Open(ctx context.Context, now time.Time, cfg Config) (*Owner, error) {
+	clm, err := claim(ctx, cfg)
+	if err != nil {
+		return nil, err
+	}
+	own := &Owner{
+		cfg: cfg, fence: clm.fence, holders: map[string]chan struct{}{}, pending: map[string]*submission{},
+		kick: make(chan struct{}, 1), flush: make(chan struct{}, 1),
+		quit: make(chan struct{}), lost: make(chan struct{}), done: make(chan struct{}),
+	}
+	own.cel = cell.New(now, cell.Config{
+		Name: cfg.Service, Fence: clm.fence, RunBase: clm.runBase(), LeaseMax: cfg.LeaseMax, StatusKept: cfg.StatusKept,
+		IsFirst: clm.term == 1, Event: own.event,
+	})
+	own.cel.SetTable(cfg.Table)
+	if err := own.restore(ctx, now); err != nil {
+		return nil, err
+	}
+	own.event(now, "ownerStarted", slog.Int64("fence", clm.fence), slog.Int("term", clm.term))
+	own.group.Go(own.planLoop)
+	own.group.Go(own.storeLoop)
+	own.group.Go(own.tickLoop)
+	go func() {
+		own.group.Wait()
+		close(own.done)
+	}()
+	return own, nil
+}
+
+func (own *Owner) event(now time.Time, kind string, attrs ...slog.Attr) {
+	own.cfg.Journal.Event(now, kind, append(attrs, slog.String("pool", own.cfg.Service))...)
+}
+
+// Key prefixes of the records of one pool.
+const (
+	jobPrefix      = "j/"
+	progressPrefix = "p/"
+	jobsTopic      = "jobs"
+)
+
+func jobKey(service, id string) string      { return service + "/" + jobPrefix + id }
+func progressKey(service, id string) string { return service + "/" + progressPrefix + id }
+
+// restore fences earlier owners' appends and then reads the jobs.
+func (own *Owner) restore(ctx context.Context, now time.Time) error {
+	if err := own.fenceEarlier(ctx); err != nil {
+		return err
+	}
+	callCtx, cancel := context.WithTimeout(ctx, 4*storeTimeout)
+	defer cancel()
+	recs, _, err := own.cfg.Archive.Newest(callCtx, jobsTopic, own.cfg.Partition)
+	if err != nil {
+		return errors.Wrap(err, "jobs")
+	}
+	jobs := map[string]*ledger.Job{}
+	progress := map[string]ledger.Progress{}
+	for _, rec := range recs {
+		rest, isOwn := strings.CutPrefix(rec.Key, own.cfg.Service+"/")
+		if !isOwn || len(rec.Value) == 0 {
+			continue
+		}
+		if err := readRecord(rest, rec.Value, jobs, progress); err != nil {
+			own.cfg.Journal.Warn(now, "recordUnreadable", slog.String("key", rec.Key), slog.String("error", err.Error()))
+		}
+	}
+	for id, jb := range jobs {
+		own.cel.Restore(now, id, jb, progress[id])
+		delete(progress, id)
+	}
+	for id, prg := range progress {
+		if prg.State.IsEnded() {
+			own.cel.Restore(now, id, nil, prg)
+		}
+	}
+	own.event(now, "jobsRestored", slog.Int("open", len(jobs)), slog.Int("ended", len(progress)))
+	return nil
+}
+
+func readRecord(rest string, value []byte, jobs map[string]*ledger.Job, progress map[string]ledger.Progress) error {
+	if id, ok := strings.CutPrefix(rest, jobPrefix); ok {
+		jb, err := ledger.DecodeJob(value)
+		if err == nil {
+			jobs[id] = &jb
+		}
+		return err
+	}
+	if id, ok := strings.CutPrefix(rest, progressPrefix); ok {
+		prg, err := ledger.DecodeProgress(value)
+		if err == nil {
+			progress[id] = prg
+		}
+		return err
+	}
+	return errors.New("unknown kind of record")
+}
+
+func (own *Owner) fenceEarlier(ctx context.Context) error {
+	for attempt := 0; ; attempt++ {
+		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		_, err := own.cfg.Archive.Append(callCtx, archive.Append{
+			Topic: jobsTopic, Partition: own.cfg.Partition, At: archive.Anywhere,
+			Producer: own.cfg.Service, Epoch: own.fence,
+		})
+		cancel()
+		if err == nil || errors.Is(err, archive.ErrFenced) || attempt == 3 {
+			return errors.Wrap(err, "fencing earlier owners")
+		}
+		if !pause(ctx.Done(), storeRetry) {
+			return errors.Wrap(err, "fencing earlier owners")
+		}
+	}
+}
+
+func pause(quit <-chan struct{}, wait time.Duration) bool {
+	tmr := time.NewTimer(wait)
+	defer tmr.Stop()
+	select {
+	case <-quit:
+		return false
+	case <-tmr.C:
+		return true
+	}
+}
+
+// Fence returns the fencing token of the term.
+func (own *Owner) Fence() int64 { return own.fence }
+
+// Lost returns a channel that is closed when another owner has taken over.
+func (own *Owner) Lost() <-chan struct{} { return own.lost }
+
+// Done returns a channel that is closed when all duties have ended.
+func (own *Owner) Done() <-chan struct{} { return own.done }
+
+// Close ends the term. What runs on the VMs runs on.
+func (own *Owner) Close() {
+	own.closeOnce.Do(func() { close(own.quit) })
+	<-own.done
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	for _, sub := range own.queued {
+		own.settle(sub, fault.New(code.NotReady, "the pool changes its owner"))
+	}
+	own.queued = nil
+	own.event(time.Now(), "ownerStopped", slog.Int64("fence", own.fence))
+}
+
+func (own *Owner) setLost(now time.Time, reason string) {
+	own.lostOnce.Do(func() {
+		own.event(now, "ownerLost", slog.Int64("fence", own.fence), slog.String("reason", reason))
+		close(own.lost)
+		own.closeOnce.Do(func() { close(own.quit) })
+	})
+}
+
+// isEnding reports whether the term is over.
+func (own *Owner) isEnding() bool {
+	select {
+	case <-own.quit:
+		return true
+	default:
+		return false
+	}
+}
+
+// SetTable puts a configuration in force.
+func (own *Owner) SetTable(tab *queue.Table) {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	own.cel.SetTable(tab)
+	own.wake()
+}
+
+// SetHosts takes in the VMs that the platform lists for the pool.
+func (own *Owner) SetHosts(now time.Time, hosts []host.Host) {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	own.cel.SetHosts(now, hosts)
+	for _, hst := range hosts {
+		if own.holders[hst.ID] == nil && !own.isEnding() {
+			own.holders[hst.ID] = make(chan struct{})
+			own.group.Go(func() { own.holdLoop(hst.ID) })
+		}
+	}
+	own.wake()
+}
+
+func (own *Owner) wake() {
+	select {
+	case own.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Submit stores a job and returns when it is stored. A fault with the code
+// OutcomeUnknown means that it may be stored.
+func (own *Owner) Submit(ctx context.Context, now time.Time, pln *plan.Plan, queue string) error {
+	own.mu.Lock()
+	if _, ok := own.cel.State(pln.ID); ok {
+		own.mu.Unlock()
+		return nil
+	}
+	sub, ok := own.pending[pln.ID]
+	if !ok {
+		if own.isEnding() {
+			own.mu.Unlock()
+			return fault.New(code.NotReady, "the pool changes its owner")
+		}
+		if !own.stuck.IsZero() && now.Sub(own.stuck) > stuckAfter {
+			own.mu.Unlock()
+			return fault.New(code.LogUnavailable, "nothing can be stored since %s", now.Sub(own.stuck).Round(time.Millisecond))
+		}
+		sub = &submission{job: ledger.Job{Plan: pln, Queue: queue, Accepted: now}, stored: make(chan struct{})}
+		own.pending[pln.ID] = sub
+		own.queued = append(own.queued, sub)
+		own.requestFlush()
+	}
+	own.mu.Unlock()
+	select {
+	case <-sub.stored:
+		return sub.err
+	case <-ctx.Done():
+		return fault.New(code.OutcomeUnknown, "job %s may be stored", pln.ID)
+	case <-own.done:
+	}
+	select {
+	case <-sub.stored:
+		return sub.err
+	default:
+		return fault.New(code.OutcomeUnknown, "job %s may be stored", pln.ID)
+	}
+}
+
+// settle ends a submission.
+func (own *Owner) settle(sub *submission, err error) {
+	sub.err = err
+	delete(own.pending, sub.job.Plan.ID)
+	close(sub.stored)
+}
+
+func (own *Owner) requestFlush() {
+	select {
+	case own.flush <- struct{}{}:
+	default:
+	}
+}
+
+// State returns the stored state of a job; ok is false when the owner knows
+// neither the job nor a submission of it that is not settled.
+func (own *Owner) State(id string) (ste ledger.State, ok bool, err error) {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	if own.isEnding() {
+		return 0, false, fault.New(code.NotReady, "the pool changes its owner")
+	}
+	if _, isPending := own.pending[id]; isPending {
+		return ledger.Queued, true, nil
+	}
+	ste, ok = own.cel.State(id)
+	return ste, ok, nil
+}
+
+// Queued returns how many jobs of the queue have not begun.
+func (own *Owner) Queued(queue string) int {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	return own.cel.Queued(queue)
+}
+
+// Cancel ends a job and returns when that is stored. It reports false when there
+// is no such job.
+func (own *Owner) Cancel(ctx context.Context, now time.Time, id string) (found bool, err error) {
+	own.mu.Lock()
+	if own.isEnding() {
+		own.mu.Unlock()
+		return false, fault.New(code.NotReady, "the pool changes its owner")
+	}
+	if sub, isPending := own.pending[id]; isPending {
+		own.mu.Unlock()
+		select {
+		case <-sub.stored:
+		case <-ctx.Done():
+			return true, fault.New(code.OutcomeUnknown, "job %s is being stored", id)
+		}
+		own.mu.Lock()
+	}
+	found = own.cel.Cancel(now, id)
+	stored := make(chan struct{})
+	if found {
+		own.waiters = append(own.waiters, stored)
+		own.requestFlush()
+		own.wake()
+	}
+	own.mu.Unlock()
+	if !found {
+		return false, nil
+	}
+	select {
+	case <-stored:
+		return true, nil
+	case <-ctx.Done():
+	case <-own.done:
+	}
+	return true, fault.New(code.OutcomeUnknown, "cancellation of job %s may be stored", id)
+}
--- /dev/null
+++ b/internal/schedule/service/service.go
@@ -0,0 +1,361 @@
+// Package service runs the job scheduler of one entry: it takes part in the
+// group of owners, follows the operator's wishes and the VMs, and owns the pools
+// that fall to it.
+package service
+
+import (
+	"context"
+	"log/slog"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"daisywheel/internal/event/journal"
+	"daisywheel/internal/fleet/agent"
+	"daisywheel/internal/fleet/directory"
+	"daisywheel/internal/fleet/host"
+	"daisywheel/internal/fleet/queue"
+	"daisywheel/internal/kernel/part"
+	"daisywheel/internal/peer/link"
+	"daisywheel/internal/schedule/archive"
+	"daisywheel/internal/schedule/cell"
+	"daisywheel/internal/schedule/gateway"
+	"daisywheel/internal/schedule/group"
+	"daisywheel/internal/schedule/owner"
+)
+
+// Times of the duties.
+const (
+	// wishWait is how long a read waits for a record of the operator.
+	wishWait = 10 * time.Second
+	// wishSlack is added to the wait before the read counts as unanswered.
+	wishSlack = time.Second
+	// wishRetry is the pause after a read that failed. A configuration has to be
+	// in force within 2 s of its acknowledgement.
+	wishRetry = 150 * time.Millisecond
+	// hostsEach is the pause between looks at the announcements of VMs. A VM that
+	// drains gets no more work within 2 s.
+	hostsEach    = 500 * time.Millisecond
+	hostsTimeout = 900 * time.Millisecond
+	// startDelay lets the members that start together find each other before
+	// pools are claimed.
+	startDelay = 1500 * time.Millisecond
+	// reopenAfter is the pause before a pool that was lost or not opened is
+	// claimed again.
+	reopenAfter = 700 * time.Millisecond
+	openTimeout = 5 * time.Second
+)
+
+// Config holds what a Service needs.
+type Config struct {
+	Name        string
+	Zone        string
+	PeerAddress string
+	Partitions  int
+	LeaseMax    time.Duration
+	StatusKept  time.Duration
+	Archive     archive.Client
+	Directory   directory.Client
+	Agent       agent.Client
+	Journal     *journal.Journal
+	Metrics     *metrics.Set
+}
+
+// Service is the scheduler of one entry.
+type Service struct {
+	cfg      Config
+	link     *link.Link
+	gateway  *gateway.Gateway
+	table    atomic.Pointer[queue.Table]
+	started  time.Time
+	mu       sync.Mutex
+	parts    []int
+	hosts    map[string]host.Host
+	owners   map[string]*owner.Owner
+	opening  map[string]bool
+	failedAt map[string]time.Time
+	joinedAt time.Time
+	duties   []*part.Part
+	stopping atomic.Bool
+}
+
+// Start starts the duties. Ready tells when callers can be served.
+func Start(now time.Time, cfg Config) (*Service, error) {
+	svc := &Service{
+		cfg: cfg, link: link.New(link.Config{}), started: now, hosts: map[string]host.Host{},
+		owners: map[string]*owner.Owner{}, opening: map[string]bool{}, failedAt: map[string]time.Time{}, joinedAt: now,
+	}
+	svc.gateway = gateway.New(gateway.Config{
+		Address: cfg.PeerAddress, Partitions: cfg.Partitions, Link: svc.link, Archive: cfg.Archive,
+		Journal: cfg.Journal, Local: svc.Owner,
+	})
+	if err := svc.link.Listen(cfg.PeerAddress); err != nil {
+		return nil, err
+	}
+	grp := group.New(group.Config{
+		// Each start is a member of its own, as it knows nothing of the one before.
+		Name:       cfg.PeerAddress + "/" + strconv.FormatInt(now.UnixNano(), 36),
+		Partitions: cfg.Partitions, Archive: cfg.Archive, Journal: cfg.Journal, Changed: svc.dealt,
+	})
+	svc.duties = []*part.Part{
+		part.Start("wishes", svc.followWishes),
+		part.Start("group", grp.Run),
+		part.Start("hosts", svc.followHosts),
+		part.Every("reconcile", tick, svc.reconcile),
+	}
+	return svc, nil
+}
+
+// tick is how often the owned pools are compared with the dealt ones.
+const tick = 100 * time.Millisecond
+
+// Gateway returns the way for callers' requests.
+func (svc *Service) Gateway() *gateway.Gateway { return svc.gateway }
+
+// Table returns the configuration in force, or nil before the first.
+func (svc *Service) Table() *queue.Table { return svc.table.Load() }
+
+// IsReady reports whether callers can be served here.
+func (svc *Service) IsReady() bool { return !svc.stopping.Load() && svc.table.Load() != nil }
+
+// Owner returns the owner of the pool if it is in this process.
+func (svc *Service) Owner(pool string) *owner.Owner {
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	return svc.owners[pool]
+}
+
+// SetStopping makes the entry not ready.
+func (svc *Service) SetStopping() { svc.stopping.Store(true) }
+
+// Resign gives the pools to other entries. Requests go on to be served by them.
+func (svc *Service) Resign() {
+	for _, dty := range svc.duties[1:] {
+		dty.Stop()
+	}
+	svc.mu.Lock()
+	owners := svc.owners
+	svc.owners = map[string]*owner.Owner{}
+	svc.mu.Unlock()
+	for _, own := range owners {
+		own.Close()
+	}
+}
+
+// Stop ends the duties that are left.
+func (svc *Service) Stop() {
+	svc.duties[0].Stop()
+	svc.link.Close()
+}
+
+// dealt takes in the partitions of this entry.
+func (svc *Service) dealt(now time.Time, parts []int) {
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	svc.parts, svc.joinedAt = parts, now
+}
+
+// followWishes reads the operator's records until quit is closed.
+func (svc *Service) followWishes(quit <-chan struct{}) {
+	cursor := int64(directory.Start)
+	isWell := true
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-quit
+		cancel()
+	}()
+	for ctx.Err() == nil {
+		callCtx, stop := context.WithTimeout(ctx, wishWait+wishSlack)
+		page, err := svc.cfg.Directory.Wishes(callCtx, cursor, wishWait)
+		stop()
+		now := time.Now()
+		if isWell != (err == nil) && ctx.Err() == nil {
+			isWell = err == nil
+			svc.logWishes(now, err)
+		}
+		if err != nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(wishRetry):
+			}
+			continue
+		}
+		cursor = page.Next
+		for _, wsh := range page.Wishes {
+			svc.takeWish(now, wsh)
+		}
+	}
+}
+
+func (svc *Service) logWishes(now time.Time, err error) {
+	if err == nil {
+		svc.cfg.Journal.Event(now, "operatorRegained")
+		return
+	}
+	svc.cfg.Journal.Warn(now, "operatorUnread", slog.String("error", err.Error()))
+}
+
+func (svc *Service) takeWish(now time.Time, wsh directory.Wish) {
+	switch {
+	case wsh.Err != nil:
+		svc.cfg.Journal.Warn(now, "wishUnreadable", slog.String("error", wsh.Err.Error()))
+	case wsh.Table != nil:
+		old := svc.table.Load()
+		if old != nil && old.Version() >= wsh.Table.Version() {
+			return
+		}
+		svc.table.Store(wsh.Table)
+		svc.cfg.Journal.Event(now, "configInForce", slog.Int64("version", wsh.Table.Version()))
+		svc.mu.Lock()
+		defer svc.mu.Unlock()
+		for _, own := range svc.owners {
+			own.SetTable(wsh.Table)
+		}
+	}
+}
+
+// followHosts reads the announcements of VMs while this entry owns a pool.
+func (svc *Service) followHosts(quit <-chan struct{}) {
+	tck := time.NewTicker(hostsEach)
+	defer tck.Stop()
+	cursor := int64(directory.Start)
+	isWell := true
+	for {
+		select {
+		case <-quit:
+			return
+		case <-tck.C:
+		}
+		if !svc.isOwning() {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), hostsTimeout)
+		page, err := svc.cfg.Directory.Hosts(ctx, cursor)
+		cancel()
+		now := time.Now()
+		if isWell != (err == nil) {
+			isWell = err == nil
+			svc.logHosts(now, err)
+		}
+		if err != nil {
+			continue
+		}
+		cursor = page.Next
+		svc.takeHosts(now, page)
+	}
+}
+
+func (svc *Service) isOwning() bool {
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	return len(svc.owners) > 0
+}
+
+func (svc *Service) logHosts(now time.Time, err error) {
+	if err == nil {
+		svc.cfg.Journal.Event(now, "vmListRegained")
+		return
+	}
+	svc.cfg.Journal.Warn(now, "vmListUnread", slog.String("error", err.Error()))
+}
+
+func (svc *Service) takeHosts(now time.Time, page directory.Hosts) {
+	svc.mu.Lock()
+	if page.IsWhole {
+		clear(svc.hosts)
+	}
+	for _, chg := range page.Changes {
+		switch {
+		case chg.Err != nil:
+			svc.cfg.Journal.Warn(now, "announcementUnusable", slog.String("vm", chg.ID), slog.String("error", chg.Err.Error()))
+		case chg.IsGone:
+			delete(svc.hosts, chg.ID)
+		default:
+			svc.hosts[chg.ID] = chg.Host
+		}
+	}
+	svc.tellHosts(now)
+	svc.mu.Unlock()
+}
+
+// tellHosts gives each owner the VMs of its pool. The caller holds the lock.
+func (svc *Service) tellHosts(now time.Time) {
+	byPool := map[string][]host.Host{}
+	for _, hst := range svc.hosts {
+		byPool[hst.Service] = append(byPool[hst.Service], hst)
+	}
+	for pool, own := range svc.owners {
+		own.SetHosts(now, byPool[pool])
+	}
+}
+
+// reconcile opens the pools that are dealt to this entry and closes the others.
+func (svc *Service) reconcile(now time.Time) {
+	tab := svc.table.Load()
+	if tab == nil || now.Sub(svc.started) < startDelay {
+		return
+	}
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	dealt := map[int]bool{}
+	if now.Sub(svc.joinedAt) < cell.OwnerReach {
+		for _, num := range svc.parts {
+			dealt[num] = true
+		}
+	}
+	for pool, own := range svc.owners {
+		if !dealt[group.PartitionOf(pool, svc.cfg.Partitions)] || isClosed(own.Lost()) {
+			delete(svc.owners, pool)
+			svc.failedAt[pool] = now
+			go own.Close()
+		}
+	}
+	for _, pool := range tab.Services() {
+		part := group.PartitionOf(pool.Name, svc.cfg.Partitions)
+		isTried := now.Sub(svc.failedAt[pool.Name]) < reopenAfter
+		if pool.IsStandby || !dealt[part] || svc.owners[pool.Name] != nil || svc.opening[pool.Name] || isTried {
+			continue
+		}
+		svc.opening[pool.Name] = true
+		go svc.open(pool.Name, part, tab)
+	}
+}
+
+func isClosed(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
+
+func (svc *Service) open(pool string, part int, tab *queue.Table) {
+	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
+	defer cancel()
+	own, err := owner.Open(ctx, time.Now(), owner.Config{
+		Service: pool, Partition: part, Address: svc.cfg.PeerAddress, LeaseMax: svc.cfg.LeaseMax,
+		StatusKept: svc.cfg.StatusKept, Archive: svc.cfg.Archive, Agent: svc.cfg.Agent, Journal: svc.cfg.Journal,
+		Metrics: svc.cfg.Metrics, Table: tab,
+	})
+	now := time.Now()
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	delete(svc.opening, pool)
+	if err != nil {
+		svc.failedAt[pool] = now
+		svc.cfg.Journal.Warn(now, "ownerNotOpened", slog.String("pool", pool), slog.String("error", err.Error()))
+		return
+	}
+	if svc.stopping.Load() {
+		go own.Close()
+		return
+	}
+	svc.owners[pool] = own
+	own.SetTable(svc.table.Load())
+	svc.tellHosts(now)
+}
