Hold the room of strays, and ask every VM that an earlier owner may have used

Change: adopt such runs; a VM with strays takes no work and a task with strays is not started; failed runs are stored as a list; the VMs that a pool may use are records, and a new owner asks each of them or waits out its lease. Floors of classes are still missed.

--- a/internal/schedule/cell/cell.go
+++ b/internal/schedule/cell/cell.go
@@ -59,18 +59,18 @@
 	jobs    map[string]*entry
 	open    map[*stage]bool
 	dirty   map[string]bool
-	ended   []string // ids of ended jobs, oldest first
-	settled bool
-	// settleBy is when all runs of earlier owners have ended, on VMs that were
-	// not reached.
-	settleBy time.Time
+	newVMs  map[string]bool // to be recorded
+	goneVMs map[string]bool // whose record is to be dropped
+	ended   []string        // ids of ended jobs, oldest first
+	settled bool            // no task of an earlier owner can run unknown
 }
 
 // New returns a Cell at the start of its owner's term.
-func New(now time.Time, cfg Config) *Cell {
+func New(cfg Config) *Cell {
 	return &Cell{
 		cfg: cfg, vms: map[string]*machine{}, jobs: map[string]*entry{}, open: map[*stage]bool{}, dirty: map[string]bool{},
-		settled: cfg.IsFirst, settleBy: now.Add(ownerReach + leaseBound(cfg.LeaseMax)),
+		newVMs: map[string]bool{}, goneVMs: map[string]bool{},
+		settled: cfg.IsFirst,
 	}
 }
 
--- a/internal/schedule/cell/place.go
+++ b/internal/schedule/cell/place.go
@@ -44,15 +44,10 @@
 	if cel.settled {
 		return
 	}
-	if now.Before(cel.settleBy) {
-		if len(cel.vms) == 0 {
+	for _, mac := range cel.vms {
+		if mac.isOld && now.Before(mac.leaseEnd) {
 			return
 		}
-		for _, mac := range cel.vms {
-			if !mac.isHeld {
-				return
-			}
-		}
 	}
 	cel.settled = true
 	cel.cfg.Event(now, "cellSettled", slog.Int("vms", len(cel.vms)), slog.Int("jobs", len(cel.jobs)))
@@ -73,7 +68,7 @@
 			}
 		}
 		for key, stp := range mac.strays {
-			if now.Sub(stp.sentAt) >= orderRetry {
+			if stp.ackedAt.IsZero() && now.Sub(stp.sentAt) >= orderRetry {
 				stp.sentAt = now
 				orders = append(orders, Order{Kind: StopTask, Target: cel.target(mac), Task: key.task, Run: key.run})
 			}
@@ -118,7 +113,7 @@
 	}
 	for i := range stg.works {
 		wrk := &stg.works[i]
-		if wrk.phase != waiting {
+		if wrk.phase != waiting || wrk.strays > 0 {
 			continue
 		}
 		mac := cel.choose(now, stg, wrk)
@@ -143,6 +138,9 @@
 	}
 	run := cel.cfg.RunBase
 	for i := range stg.works {
+		if stg.works[i].strays > 0 {
+			return orders
+		}
 		run = max(run, stg.works[i].run)
 	}
 	picks := cel.reserve(now, stg)
@@ -200,7 +198,7 @@
 // isUsable reports whether the VM may take a task of the stage now.
 func (cel *Cell) isUsable(now time.Time, mac *machine, stg *stage) bool {
 	switch {
-	case !mac.isHeld || mac.host.IsDraining || mac.isLeaving || !mac.isListed:
+	case !mac.isHeld || !mac.isRecorded || mac.host.IsDraining || mac.isLeaving || !mac.isListed || len(mac.strays) > 0:
 		return false
 	case now.Before(mac.quietUntil) || now.Sub(mac.heardAt) > staleAfter:
 		return false
@@ -259,11 +257,14 @@
 
 // Stopped takes in the outcome of a stop.
 func (cel *Cell) Stopped(now time.Time, ord Order, out agent.Outcome) {
-	wrk := cel.find(ord.Task)
-	if wrk == nil || wrk.vm == nil || wrk.vm.host.ID != ord.Target.VM || wrk.run != ord.Run || wrk.phase != stopping {
+	mac := cel.vms[ord.Target.VM]
+	if mac == nil || out != agent.Done {
 		return
 	}
-	if out == agent.Done {
+	if stp := mac.strays[stray{ord.Task, ord.Run}]; stp != nil {
+		stp.ackedAt = now
+	}
+	if wrk := mac.works[ord.Task]; wrk != nil && wrk.run == ord.Run && wrk.phase == stopping {
 		wrk.stopAcked = now
 	}
 }
--- a/internal/schedule/cell/record.go
+++ b/internal/schedule/cell/record.go
@@ -1,8 +1,10 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
+	"daisywheel/internal/fleet/host"
 	"daisywheel/internal/job/plan"
 	"daisywheel/internal/schedule/ledger"
 )
@@ -16,13 +18,15 @@
 // Batch is what one append stores. Ends are acknowledged to the VMs when it is.
 type Batch struct {
 	Updates []Update
+	Hosts   []host.Host // VMs that may run tasks from now on
+	Gone    []string    // VMs that may not any more
 	seen    map[string]vmSeen
 }
 
 type vmSeen struct{ born, number int64 }
 
 // IsEmpty reports whether there is nothing to store.
-func (bat *Batch) IsEmpty() bool { return len(bat.Updates) == 0 }
+func (bat *Batch) IsEmpty() bool { return len(bat.Updates)+len(bat.Hosts)+len(bat.Gone) == 0 }
 
 // TakeBatch returns what has changed since the last batch.
 func (cel *Cell) TakeBatch() Batch {
@@ -33,6 +37,14 @@
 		bat.Updates = append(bat.Updates, Update{ID: id, Progress: progressOf(ent)})
 	}
 	clear(cel.dirty)
+	for id := range cel.newVMs {
+		bat.Hosts = append(bat.Hosts, cel.vms[id].host)
+	}
+	clear(cel.newVMs)
+	for id := range cel.goneVMs {
+		bat.Gone = append(bat.Gone, id)
+	}
+	clear(cel.goneVMs)
 	for id, mac := range cel.vms {
 		bat.seen[id] = vmSeen{mac.born, mac.seen}
 	}
@@ -46,6 +58,11 @@
 			ent.recorded = upd.Progress.State
 		}
 	}
+	for _, hst := range bat.Hosts {
+		if mac, ok := cel.vms[hst.ID]; ok && mac.host.Address == hst.Address {
+			mac.isRecorded = true
+		}
+	}
 	for id, seen := range bat.seen {
 		if mac, ok := cel.vms[id]; ok && mac.born == seen.born {
 			mac.acked = max(mac.acked, seen.number)
@@ -60,6 +77,16 @@
 			cel.markDirty(ent)
 		}
 	}
+	for _, hst := range bat.Hosts {
+		if mac, ok := cel.vms[hst.ID]; ok {
+			cel.record(mac)
+		}
+	}
+	for _, id := range bat.Gone {
+		if cel.vms[id] == nil {
+			cel.goneVMs[id] = true
+		}
+	}
 }
 
 // HasUrgent reports whether something waits to be stored that callers wait for.
@@ -73,7 +100,7 @@
 }
 
 // HasChanges reports whether anything waits to be stored.
-func (cel *Cell) HasChanges() bool { return len(cel.dirty) > 0 }
+func (cel *Cell) HasChanges() bool { return len(cel.dirty)+len(cel.newVMs)+len(cel.goneVMs) > 0 }
 
 func progressOf(ent *entry) ledger.Progress {
 	prg := ledger.Progress{State: ent.state, Ended: ent.endedAt}
@@ -106,8 +133,8 @@
 		if wrk.phase == done && !don.IsAll {
 			don.Indexes = append(don.Indexes, i)
 		}
-		if wrk.failedRun > 0 && wrk.phase != done && !stg.step.IsLasting {
-			fails = append(fails, ledger.Failure{Occurrence: num, Step: stg.num, Index: i, Count: wrk.failures, LastRun: wrk.failedRun})
+		if len(wrk.failedRuns) > 0 && wrk.phase != done && !stg.step.IsLasting {
+			fails = append(fails, ledger.Failure{Occurrence: num, Step: stg.num, Index: i, Runs: wrk.failedRuns})
 		}
 	}
 	if don.IsAll || len(don.Indexes) > 0 {
@@ -163,7 +190,7 @@
 		}
 		stg := rnd.stages[don.Step]
 		for i := range stg.works {
-			if don.IsAll || contains(don.Indexes, i) {
+			if don.IsAll || slices.Contains(don.Indexes, i) {
 				if stg.works[i].phase != done {
 					cel.settleDone(&stg.works[i])
 				}
@@ -176,12 +203,12 @@
 	}
 	for _, fal := range prg.Failures {
 		rnd := cel.roundAt(ent, fal.Occurrence)
-		if rnd == nil || fal.Step >= len(rnd.stages) || fal.Index >= len(rnd.stages[fal.Step].works) {
+		if len(fal.Runs) == 0 || rnd == nil || fal.Step >= len(rnd.stages) || fal.Index >= len(rnd.stages[fal.Step].works) {
 			continue
 		}
 		wrk := &rnd.stages[fal.Step].works[fal.Index]
-		wrk.failures, wrk.failedRun = fal.Count, fal.LastRun
-		wrk.run = max(wrk.run, fal.LastRun)
+		wrk.failedRuns = fal.Runs
+		wrk.run = max(wrk.run, slices.Max(fal.Runs))
 	}
 	for _, rnd := range ent.rounds {
 		if rnd == nil {
@@ -206,14 +233,5 @@
 	return ent.rounds[num]
 }
 
-func contains(list []int, num int) bool {
-	for _, item := range list {
-		if item == num {
-			return true
-		}
-	}
-	return false
-}
-
 // endedPlan stands for the plan of an ended job, which is not stored any more.
 func endedPlan(id string) *plan.Plan { return &plan.Plan{ID: id} }
--- a/internal/schedule/cell/report.go
+++ b/internal/schedule/cell/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"daisywheel/internal/fleet/agent"
@@ -20,11 +21,19 @@
 		if !ok {
 			mac = newMachine(hst)
 			cel.vms[hst.ID] = mac
+			cel.record(mac)
 			cel.cfg.Event(now, "vmListed", slog.String("vm", hst.ID), slog.String("zone", hst.Zone), slog.Int64("born", hst.Born))
 		}
 		if mac.host.IsDraining != hst.IsDraining {
 			cel.cfg.Event(now, "vmDraining", slog.String("vm", hst.ID), slog.Bool("draining", hst.IsDraining))
 		}
+		if mac.isOld && hst.Born > mac.host.Born && mac.host.Born != 0 {
+			mac.isOld = false // a new life holds nothing of before
+		}
+		if mac.host.Address != hst.Address {
+			mac.host = hst
+			cel.record(mac)
+		}
 		mac.host, mac.isListed, mac.listedLast = hst, true, now
 		if hst.Born != 0 && mac.born != 0 && hst.Born > mac.born {
 			cel.reborn(now, mac, hst.Born)
@@ -39,12 +48,34 @@
 	}
 }
 
+// record asks for the VM to be stored before it is used.
+func (cel *Cell) record(mac *machine) {
+	mac.isRecorded = false
+	cel.newVMs[mac.host.ID] = true
+	delete(cel.goneVMs, mac.host.ID)
+}
+
+// forget drops a VM on which nothing can run any more.
+func (cel *Cell) forget(mac *machine) {
+	delete(cel.vms, mac.host.ID)
+	delete(cel.newVMs, mac.host.ID)
+	cel.goneVMs[mac.host.ID] = true
+}
+
+// RestoreHost adds a VM that an earlier owner may have used.
+func (cel *Cell) RestoreHost(now time.Time, hst host.Host) {
+	mac := newMachine(hst)
+	mac.isOld, mac.isRecorded = true, true
+	mac.leaseEnd = now.Add(ownerReach + leaseBound(cel.cfg.LeaseMax))
+	cel.vms[hst.ID] = mac
+}
+
 // reborn takes in that the VM has started anew: what ran there has ended. A
 // start without an answer may still reach the new life, so it is stopped there.
 func (cel *Cell) reborn(now time.Time, mac *machine, born int64) {
 	cel.cfg.Event(now, "vmReborn", slog.String("vm", mac.host.ID), slog.Int64("born", born), slog.Int("tasks", len(mac.works)))
-	mac.born, mac.isHeld, mac.seen, mac.acked = born, false, 0, 0
-	clear(mac.strays)
+	mac.born, mac.isHeld, mac.isOld, mac.seen, mac.acked = born, false, false, 0, 0
+	mac.dropStrays()
 	for _, wrk := range mac.works {
 		if wrk.phase == starting || wrk.isDoubtful {
 			cel.stop(wrk)
@@ -88,10 +119,10 @@
 			for _, wrk := range mac.works {
 				cel.release(wrk)
 			}
-			clear(mac.strays)
+			mac.dropStrays()
 		}
 		if isSilent && !mac.isListed && now.Sub(mac.heardAt) > leaseBound(cel.cfg.LeaseMax) {
-			delete(cel.vms, id)
+			cel.forget(mac)
 			cel.cfg.Event(now, "vmGone", slog.String("vm", id))
 		}
 	}
@@ -164,7 +195,7 @@
 		mac.born = rpt.Born
 	}
 	if !mac.isHeld {
-		mac.isHeld = true
+		mac.isHeld, mac.isOld = true, false
 		mac.leaseEnd = later(mac.leaseEnd, now.Add(leaseBound(cel.cfg.LeaseMax)))
 		cel.cfg.Event(now, "vmHeld", slog.String("vm", id), slog.Int64("fence", cel.cfg.Fence),
 			slog.Int("active", len(rpt.Active)), slog.Int("ended", len(rpt.Ended)))
@@ -202,20 +233,13 @@
 	wrk := cel.find(run.Task)
 	switch {
 	case wrk == nil || wrk.phase == done || wrk.step.job.state.IsEnded() && wrk.vm == nil:
-		cel.addStray(mac, run)
+		mac.addStray(stray{run.Task, run.Number}, wrk)
 	case wrk.vm == mac && wrk.run == run.Number:
 		cel.seeRunning(wrk, sent, run)
-	case wrk.vm == nil && run.Number >= wrk.run && wrk.step.isOpen:
+	case wrk.vm == nil && wrk.strays == 0 && run.Number >= wrk.run:
 		cel.adopt(mac, wrk, run)
 	default:
-		cel.addStray(mac, run)
-	}
-}
-
-func (cel *Cell) addStray(mac *machine, run agent.Run) {
-	key := stray{run.Task, run.Number}
-	if mac.strays[key] == nil {
-		mac.strays[key] = &strayStop{}
+		mac.addStray(stray{run.Task, run.Number}, wrk)
 	}
 }
 
@@ -262,15 +286,15 @@
 		if num, ok := listed[key.task]; ok && num == key.run {
 			continue
 		}
-		if !stp.sentAt.IsZero() && sent.After(stp.sentAt) {
-			delete(mac.strays, key)
+		if !stp.ackedAt.IsZero() && sent.After(stp.ackedAt) {
+			mac.dropStray(key)
 		}
 	}
 }
 
 // takeEnd takes in the end of a run.
 func (cel *Cell) takeEnd(now time.Time, mac *machine, end agent.End) {
-	delete(mac.strays, stray{end.Task, end.Run})
+	mac.dropStray(stray{end.Task, end.Run})
 	wrk := cel.find(end.Task)
 	if wrk == nil || wrk.phase == done {
 		return
@@ -296,13 +320,13 @@
 }
 
 func (cel *Cell) taskFailed(now time.Time, wrk *work, mac *machine, run int) {
-	if run <= wrk.failedRun || wrk.step.job.state.IsEnded() {
+	if slices.Contains(wrk.failedRuns, run) || wrk.step.job.state.IsEnded() {
 		return
 	}
-	wrk.failedRun, wrk.avoid = run, mac.host.ID
+	wrk.avoid = mac.host.ID
 	ent := wrk.step.job
 	if !wrk.step.step.IsLasting {
-		wrk.failures++
+		wrk.failedRuns = append(wrk.failedRuns, run)
 		cel.markDirty(ent)
 	}
 	if mac.streak++; mac.streak >= streakLimit {
@@ -311,8 +335,8 @@
 	}
 	que, _ := cel.queueOf(ent.queue)
 	cel.cfg.Event(now, "taskFailed", slog.String("task", wrk.id.String()), slog.String("vm", mac.host.ID),
-		slog.Int("run", run), slog.Int("failures", wrk.failures), slog.Int("limit", que.MaxAttempts))
-	if !wrk.step.step.IsLasting && wrk.failures >= que.MaxAttempts {
+		slog.Int("run", run), slog.Int("failures", len(wrk.failedRuns)), slog.Int("limit", que.MaxAttempts))
+	if !wrk.step.step.IsLasting && len(wrk.failedRuns) >= que.MaxAttempts {
 		cel.endJob(now, ent, ledger.Failed, "attempts")
 		cel.stopAll(ent)
 	}
@@ -343,7 +367,7 @@
 	}
 	if wrk.vm != nil && wrk.vm != mac {
 		// Another copy still runs; it is stopped as a stray once it is listed.
-		wrk.vm.strays[stray{wrk.id, wrk.run}] = &strayStop{}
+		wrk.vm.addStray(stray{wrk.id, wrk.run}, wrk)
 	}
 	cel.settleDone(wrk)
 	if stg.step.IsGang {
@@ -403,6 +427,6 @@
 	for _, wrk := range mac.works {
 		cel.release(wrk)
 	}
-	clear(mac.strays)
-	delete(cel.vms, id)
+	mac.dropStrays()
+	cel.forget(mac)
 }
--- a/internal/schedule/cell/state.go
+++ b/internal/schedule/cell/state.go
@@ -33,8 +33,8 @@
 	isDoubtful bool      // the start got no answer
 	stopSent   time.Time
 	stopAcked  time.Time
-	failures   int
-	failedRun  int    // highest run whose failure is counted
+	failedRuns []int  // runs whose failure is counted
+	strays     int    // runs of the task that are not wanted and may still go on
 	avoid      string // VM of the last failure
 	percent    int
 	load       int
@@ -88,6 +88,8 @@
 type machine struct {
 	host       host.Host
 	isListed   bool
+	isRecorded bool // the store holds that the VM may run tasks
+	isOld      bool // an earlier owner may have left tasks there that are not known
 	isHeld     bool // it has answered this owner
 	isLeaving  bool // it is to be emptied for maintenance or a move
 	born       int64
@@ -114,7 +116,13 @@
 	run  int
 }
 
-type strayStop struct{ sentAt time.Time }
+// strayStop is the stopping of a stray. While it lasts, the room that the stray
+// takes is not known to be free, and its task is not started elsewhere.
+type strayStop struct {
+	sentAt  time.Time
+	ackedAt time.Time
+	work    *work // nil when the task is not known
+}
 
 func newMachine(hst host.Host) *machine {
 	return &machine{
@@ -122,6 +130,35 @@
 	}
 }
 
+// addStray notes a run that is to be stopped.
+func (mac *machine) addStray(key stray, wrk *work) {
+	if mac.strays[key] != nil {
+		return
+	}
+	mac.strays[key] = &strayStop{work: wrk}
+	if wrk != nil {
+		wrk.strays++
+	}
+}
+
+// dropStray notes that a run that was not wanted has ended.
+func (mac *machine) dropStray(key stray) {
+	stp := mac.strays[key]
+	if stp == nil {
+		return
+	}
+	delete(mac.strays, key)
+	if stp.work != nil {
+		stp.work.strays--
+	}
+}
+
+func (mac *machine) dropStrays() {
+	for key := range mac.strays {
+		mac.dropStray(key)
+	}
+}
+
 // counted returns what a task takes of the VM's capacity.
 func counted(stp *plan.Step) plan.Demand {
 	dmd := stp.Demand
--- a/internal/schedule/ledger/ledger.go
+++ b/internal/schedule/ledger/ledger.go
@@ -1,5 +1,6 @@
 // Package ledger is the form in which jobs and their progress are stored: two
-// records a job, one that never changes and one that is replaced.
+// records a job, one that never changes and one that is replaced; and a record
+// for each VM that may run tasks, so that a later owner knows whom to ask.
 package ledger
 
 import (
@@ -8,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"daisywheel/internal/fleet/host"
 	"daisywheel/internal/job/plan"
 )
 
@@ -38,11 +40,10 @@
 	Accepted time.Time // wall clock of the owner
 }
 
-// Failure counts the failed runs of a task. Later repeats of runs up to LastRun
-// are not counted again.
+// Failure lists the failed runs of a task, as a VM may report an end again.
 type Failure struct {
 	Occurrence, Step, Index int
-	Count, LastRun          int
+	Runs                    []int
 }
 
 // Progress is the record of what has been done of a job.
@@ -148,11 +149,42 @@
 	}
 }
 
+type hostForm struct {
+	Address    string   `json:"address"`
+	Zone       string   `json:"zone,omitempty"`
+	Labels     []string `json:"labels,omitempty"`
+	MilliCores int64    `json:"milliCores"`
+	MemoryMB   int64    `json:"memoryMB"`
+	GPUs       int64    `json:"gpus,omitempty"`
+	Born       int64    `json:"bornMs,omitempty"`
+}
+
+// EncodeHost returns the record of a VM that may run tasks of the pool.
+func EncodeHost(hst host.Host) ([]byte, error) {
+	data, err := json.Marshal(hostForm{
+		Address: hst.Address, Zone: hst.Zone, Labels: hst.Labels, MilliCores: hst.Capacity.MilliCores,
+		MemoryMB: hst.Capacity.MemoryMB, GPUs: hst.Capacity.GPUs, Born: hst.Born,
+	})
+	return data, errors.Wrap(err, "VM record")
+}
+
+// DecodeHost reads what EncodeHost returns.
+func DecodeHost(id, service string, data []byte) (host.Host, error) {
+	var frm hostForm
+	if err := json.Unmarshal(data, &frm); err != nil {
+		return host.Host{}, errors.Wrap(err, "VM record")
+	}
+	return host.Host{
+		ID: id, Service: service, Address: frm.Address, Zone: frm.Zone, Labels: frm.Labels, Born: frm.Born,
+		Capacity: plan.Demand{MilliCores: frm.MilliCores, MemoryMB: frm.MemoryMB, GPUs: frm.GPUs},
+	}, nil
+}
+
 type progressForm struct {
-	State    State    `json:"state"`
-	Ended    int64    `json:"endedMs,omitempty"`
-	Done     [][]int  `json:"done,omitempty"`     // occurrence, step, then indexes; none: all
-	Failures [][5]int `json:"failures,omitempty"` // occurrence, step, index, count, last run
+	State    State   `json:"state"`
+	Ended    int64   `json:"endedMs,omitempty"`
+	Done     [][]int `json:"done,omitempty"`     // occurrence, step, then indexes; none: all
+	Failures [][]int `json:"failures,omitempty"` // occurrence, step, index, then runs
 }
 
 // EncodeProgress returns the record of progress.
@@ -169,7 +201,7 @@
 		frm.Done = append(frm.Done, row)
 	}
 	for _, fal := range prg.Failures {
-		frm.Failures = append(frm.Failures, [5]int{fal.Occurrence, fal.Step, fal.Index, fal.Count, fal.LastRun})
+		frm.Failures = append(frm.Failures, append([]int{fal.Occurrence, fal.Step, fal.Index}, fal.Runs...))
 	}
 	data, err := json.Marshal(frm)
 	return data, errors.Wrap(err, "progress record")
@@ -192,7 +224,10 @@
 		prg.Done = append(prg.Done, StepDone{Occurrence: row[0], Step: row[1], IsAll: len(row) == 2, Indexes: row[2:]})
 	}
 	for _, row := range frm.Failures {
-		prg.Failures = append(prg.Failures, Failure{Occurrence: row[0], Step: row[1], Index: row[2], Count: row[3], LastRun: row[4]})
+		if len(row) < 3 {
+			return Progress{}, errors.New("progress record has a failure without a task")
+		}
+		prg.Failures = append(prg.Failures, Failure{Occurrence: row[0], Step: row[1], Index: row[2], Runs: row[3:]})
 	}
 	return prg, nil
 }
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -94,7 +94,7 @@
 		kick: make(chan struct{}, 1), flush: make(chan struct{}, 1),
 		quit: make(chan struct{}), lost: make(chan struct{}), done: make(chan struct{}),
 	}
-	own.cel = cell.New(now, cell.Config{
+	own.cel = cell.New(cell.Config{
 		Name: cfg.Service, Fence: clm.fence, RunBase: clm.runBase(), LeaseMax: cfg.LeaseMax, StatusKept: cfg.StatusKept,
 		IsFirst: clm.term == 1, Event: own.event,
 	})
@@ -121,10 +121,12 @@
 const (
 	jobPrefix      = "j/"
 	progressPrefix = "p/"
+	hostPrefix     = "v/"
 	jobsTopic      = "jobs"
 )
 
 func jobKey(service, id string) string      { return service + "/" + jobPrefix + id }
+func hostKey(service, id string) string     { return service + "/" + hostPrefix + id }
 func progressKey(service, id string) string { return service + "/" + progressPrefix + id }
 
 // restore fences earlier owners' appends and then reads the jobs.
@@ -138,6 +140,8 @@
 	if err != nil {
 		return errors.Wrap(err, "jobs")
 	}
+	own.mu.Lock()
+	defer own.mu.Unlock()
 	jobs := map[string]*ledger.Job{}
 	progress := map[string]ledger.Progress{}
 	for _, rec := range recs {
@@ -145,7 +149,12 @@
 		if !isOwn || len(rec.Value) == 0 {
 			continue
 		}
-		if err := readRecord(rest, rec.Value, jobs, progress); err != nil {
+		if id, isHost := strings.CutPrefix(rest, hostPrefix); isHost {
+			err = own.restoreHost(now, id, rec.Value)
+		} else {
+			err = readRecord(rest, rec.Value, jobs, progress)
+		}
+		if err != nil {
 			own.cfg.Journal.Warn(now, "recordUnreadable", slog.String("key", rec.Key), slog.String("error", err.Error()))
 		}
 	}
@@ -162,6 +171,24 @@
 	return nil
 }
 
+func (own *Owner) restoreHost(now time.Time, id string, value []byte) error {
+	hst, err := ledger.DecodeHost(id, own.cfg.Service, value)
+	if err != nil {
+		return err
+	}
+	own.cel.RestoreHost(now, hst)
+	own.holdVM(id)
+	return nil
+}
+
+// holdVM starts the duty that looks at a VM.
+func (own *Owner) holdVM(id string) {
+	if own.holders[id] == nil && !own.isEnding() {
+		own.holders[id] = make(chan struct{})
+		own.group.Go(func() { own.holdLoop(id) })
+	}
+}
+
 func readRecord(rest string, value []byte, jobs map[string]*ledger.Job, progress map[string]ledger.Progress) error {
 	if id, ok := strings.CutPrefix(rest, jobPrefix); ok {
 		jb, err := ledger.DecodeJob(value)
@@ -262,10 +289,10 @@
 	defer own.mu.Unlock()
 	own.cel.SetHosts(now, hosts)
 	for _, hst := range hosts {
-		if own.holders[hst.ID] == nil && !own.isEnding() {
-			own.holders[hst.ID] = make(chan struct{})
-			own.group.Go(func() { own.holdLoop(hst.ID) })
-		}
+		own.holdVM(hst.ID)
+	}
+	if own.cel.HasChanges() {
+		own.requestFlush()
 	}
 	own.wake()
 }
--- a/internal/schedule/owner/store.go
+++ b/internal/schedule/owner/store.go
@@ -81,12 +81,28 @@
 	for _, upd := range bat.changes.Updates {
 		bat.records = own.addUpdate(now, bat.records, upd)
 	}
+	bat.records = own.addHosts(now, bat.records, &bat.changes)
 	for _, id := range own.cel.Forget(now) {
 		bat.records = append(bat.records, archive.Record{Key: progressKey(own.cfg.Service, id)})
 	}
 	return bat, len(own.queued) > 0
 }
 
+func (own *Owner) addHosts(now time.Time, recs []archive.Record, chg *cell.Batch) []archive.Record {
+	for _, hst := range chg.Hosts {
+		data, err := ledger.EncodeHost(hst)
+		if err != nil {
+			own.cfg.Journal.Warn(now, "vmUnstored", slog.String("vm", hst.ID), slog.String("error", err.Error()))
+			continue
+		}
+		recs = append(recs, archive.Record{Key: hostKey(own.cfg.Service, hst.ID), Value: data})
+	}
+	for _, id := range chg.Gone {
+		recs = append(recs, archive.Record{Key: hostKey(own.cfg.Service, id)})
+	}
+	return recs
+}
+
 func (own *Owner) addUpdate(now time.Time, recs []archive.Record, upd cell.Update) []archive.Record {
 	data, err := ledger.EncodeProgress(upd.Progress)
 	if err != nil {
