Let a steward move idle VMs after the demand and carry out waves

Change: one fenced steward for the fleet; owners report what their work wants and empty the VMs that the steward names; idle VMs move, waves take the emptiest machines first within their cap, each order after a record that proves the term. Jobs begin only with a reserve and begun jobs go first.

--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -21,6 +21,7 @@
 	Reborn                  // refused: another life of the VM answers at the address
 	Unwell                  // refused: the VM is overloaded or failing
 	NoTicket                // refused: the advice ticket does not hold
+	Unreached               // no connection to the VM: the order was not sent
 	BadOrder                // refused: the VM cannot read the order
 )
 
--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -49,6 +49,8 @@
 	Name string
 	Pool string
 	VM   string // id of its present life
+	// MilliCores is its capacity in thousandths of a core.
+	MilliCores int64
 	IsUp bool
 	// IsOff tells that the machine does not run: it is down.
 	IsOff bool
--- a/internal/fleet/upkeep/upkeep.go
+++ b/internal/fleet/upkeep/upkeep.go
@@ -1,14 +1,58 @@
-// Package upkeep describes a maintenance wave that the operator asked for.
+// Package upkeep decides in which order the VMs of a maintenance wave go down.
 package upkeep
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
-// Wave asks for the maintenance of VMs in time, with at most Cap of them down at
-// once.
+// Wave asks for the maintenance of machines in time, with at most Cap of them
+// down at once. Machines keep their names across the lives of their VMs.
 type Wave struct {
 	Number   int64
-	VMs      []string // names of machines, which stay across their lives
-	Within   time.Duration
+	Machines []string
+	Within   time.Duration // of the request
 	Cap      int
-	IsClosed bool // reported as completed
+}
+
+// Candidate is a machine of a wave that has not been maintained.
+type Candidate struct {
+	Machine  string
+	Tasks    int  // that would have to end or move
+	Lasting  int  // of the tasks: each is restarted elsewhere
+	IsSoon   bool // its pool has room to spare now
+	IsOnWay  bool // it is being emptied already
+	IsStayer bool // it cannot be emptied yet
+}
+
+// Next returns the machines that should be emptied now, at most free of them:
+// those that are on their way, then the ones that cost least.
+func Next(cands []Candidate, free int) []string {
+	list := slices.Clone(cands)
+	slices.SortStableFunc(list, func(one, two Candidate) int {
+		return cmp.Or(rankOf(one)-rankOf(two), one.Lasting-two.Lasting, one.Tasks-two.Tasks, cmp.Compare(one.Machine, two.Machine))
+	})
+	var next []string
+	for _, cnd := range list {
+		if len(next) >= free {
+			break
+		}
+		if !cnd.IsStayer {
+			next = append(next, cnd.Machine)
+		}
+	}
+	return next
+}
+
+func rankOf(cnd Candidate) int {
+	switch {
+	case cnd.IsOnWay:
+		return 0
+	case cnd.Tasks == 0:
+		return 1
+	case cnd.IsSoon:
+		return 2
+	}
+	return 3
 }
--- a/internal/schedule/cell/cell.go
+++ b/internal/schedule/cell/cell.go
@@ -13,6 +13,7 @@
 	"daisywheel/internal/job/plan"
 	"daisywheel/internal/job/task"
 	"daisywheel/internal/schedule/ledger"
+	"daisywheel/internal/schedule/runtime"
 )
 
 // Terms of the lease arithmetic.
@@ -58,6 +59,7 @@
 	vms     map[string]*machine
 	jobs    map[string]*entry
 	open    map[*stage]bool
+	models  map[string]*runtime.Model // by queue
 	dirty   map[string]bool
 	newVMs  map[string]bool // to be recorded
 	goneVMs map[string]bool // whose record is to be dropped
@@ -68,7 +70,7 @@
 // New returns a Cell at the start of its owner's term.
 func New(cfg Config) *Cell {
 	return &Cell{
-		cfg: cfg, vms: map[string]*machine{}, jobs: map[string]*entry{}, open: map[*stage]bool{}, dirty: map[string]bool{},
+		cfg: cfg, vms: map[string]*machine{}, jobs: map[string]*entry{}, open: map[*stage]bool{}, models: map[string]*runtime.Model{}, dirty: map[string]bool{},
 		newVMs: map[string]bool{}, goneVMs: map[string]bool{},
 		settled: cfg.IsFirst,
 	}
--- a/internal/schedule/cell/place.go
+++ b/internal/schedule/cell/place.go
@@ -9,6 +9,7 @@
 	"daisywheel/internal/job/plan"
 	"daisywheel/internal/schedule/fit"
 	"daisywheel/internal/schedule/rank"
+	"daisywheel/internal/schedule/runtime"
 )
 
 // remaining returns the longest chain of the steps of a round that are not done.
@@ -30,6 +31,7 @@
 
 // Plan returns the orders that should be sent now, and takes them as sent.
 func (cel *Cell) Plan(now time.Time) []Order {
+	cel.planLeaving(now)
 	orders := cel.planStops(now, nil)
 	cel.checkSettled(now)
 	for _, stg := range cel.sorted(now) {
@@ -77,6 +79,25 @@
 	return orders
 }
 
+func (cel *Cell) claim(stg *stage) rank.Claim {
+	que, _ := cel.queueOf(stg.job.queue)
+	return rank.Claim{
+		Priority: que.Priority, Objective: stg.job.objective, Remaining: cel.model(que.Name).Expect(stg.job.remaining),
+		IsLasting: stg.step.IsLasting, IsHelper: stg.step.IsBackground,
+		Submitted: stg.job.accepted, HasBegun: stg.job.isBegun,
+	}
+}
+
+// model returns what is learned of the run times of a queue.
+func (cel *Cell) model(queue string) *runtime.Model {
+	mdl, ok := cel.models[queue]
+	if !ok {
+		mdl = &runtime.Model{}
+		cel.models[queue] = mdl
+	}
+	return mdl
+}
+
 type rankedStage struct {
 	key rank.Key
 	stg *stage
@@ -89,12 +110,7 @@
 		if stg.waitCount == 0 || stg.job.isOld && !cel.settled {
 			continue
 		}
-		que, _ := cel.queueOf(stg.job.queue)
-		list = append(list, rankedStage{key: rank.KeyOf(now, rank.Claim{
-			Priority: que.Priority, Objective: stg.job.objective, Remaining: stg.job.remaining,
-			IsLasting: stg.step.IsLasting, IsHelper: stg.step.IsBackground,
-			Submitted: stg.job.accepted, HasStarted: stg.job.isBegun,
-		}), stg: stg})
+		list = append(list, rankedStage{key: rank.KeyOf(now, cel.claim(stg)), stg: stg})
 	}
 	slices.SortFunc(list, func(one, two rankedStage) int { return rank.Compare(one.key, two.key) })
 	stages := make([]*stage, len(list))
@@ -198,7 +214,7 @@
 // isUsable reports whether the VM may take a task of the stage now.
 func (cel *Cell) isUsable(now time.Time, mac *machine, stg *stage) bool {
 	switch {
-	case !mac.isHeld || !mac.isRecorded || mac.host.IsDraining || mac.isLeaving || !mac.isListed || len(mac.strays) > 0:
+	case !mac.isHeld || !mac.isRecorded || mac.isSilent || mac.host.IsDraining || mac.isLeaving || !mac.isListed || len(mac.strays) > 0:
 		return false
 	case now.Before(mac.quietUntil) || now.Sub(mac.heardAt) > staleAfter:
 		return false
@@ -215,6 +231,7 @@
 func (cel *Cell) start(now time.Time, mac *machine, wrk *work, run int) Order {
 	wrk.run, wrk.phase, wrk.startSent, wrk.answered, wrk.isDoubtful = run, starting, now, time.Time{}, false
 	wrk.step.waitCount--
+	wrk.step.startedAt = now
 	mac.add(wrk)
 	ent := wrk.step.job
 	if !ent.isBegun {
@@ -245,6 +262,8 @@
 	case agent.Unknown:
 		wrk.isDoubtful = true
 		return
+	case agent.Unreached:
+		mac.isSilent = true
 	case agent.Unwell:
 		mac.quietUntil = now.Add(unwellPause)
 	case agent.Reborn:
--- /dev/null
+++ b/internal/schedule/cell/pool.go
@@ -0,0 +1,72 @@
+package cell
+
+import (
+	"log/slog"
+	"time"
+
+	"daisywheel/internal/fleet/balance"
+	"daisywheel/internal/schedule/rank"
+)
+
+// Pool returns what the balance of the fleet needs to know of the pool.
+func (cel *Cell) Pool(now time.Time) balance.Pool {
+	pol := balance.Pool{Name: cel.cfg.Name}
+	for _, mac := range cel.vms {
+		pol.Wanted += mac.used.MilliCores
+		vm := balance.VM{
+			ID: mac.host.ID, MilliCores: mac.host.Capacity.MilliCores, Tasks: len(mac.works) + len(mac.strays),
+			Since: mac.firstHeard, IsLeaving: mac.isLeaving,
+			IsUsable: mac.isHeld && mac.isListed && !mac.host.IsDraining && now.Sub(mac.heardAt) <= staleAfter,
+		}
+		for _, wrk := range mac.works {
+			if wrk.step.step.IsLasting {
+				vm.Lasting++
+			}
+		}
+		pol.VMs = append(pol.VMs, vm)
+	}
+	for stg := range cel.open {
+		if stg.waitCount > 0 && rank.BandOf(now, cel.claim(stg)) < rank.Late {
+			pol.Wanted += int64(stg.waitCount) * counted(stg.step).MilliCores
+		}
+	}
+	return pol
+}
+
+// SetLeaving says which VMs are to be emptied. No new work goes there; lasting
+// tasks are moved one at a time.
+func (cel *Cell) SetLeaving(now time.Time, leaving map[string]bool) {
+	for id, mac := range cel.vms {
+		if mac.isLeaving != leaving[id] {
+			mac.isLeaving = leaving[id]
+			cel.cfg.Event(now, "vmLeaving", slog.String("vm", id), slog.Bool("leaving", mac.isLeaving), slog.Int("tasks", len(mac.works)))
+		}
+	}
+}
+
+// planLeaving stops lasting tasks on VMs that are to be emptied.
+func (cel *Cell) planLeaving(now time.Time) {
+	for _, mac := range cel.vms {
+		if !mac.isLeaving {
+			continue
+		}
+		for _, wrk := range mac.works {
+			if wrk.phase == running && wrk.step.step.IsLasting && cel.isMovable(now, wrk) {
+				cel.stop(wrk)
+			}
+		}
+	}
+}
+
+// isMovable reports whether a lasting task may be stopped now: not more of its
+// step are away than the caller allows, and another VM has room for it.
+func (cel *Cell) isMovable(now time.Time, wrk *work) bool {
+	away := 0
+	for i := range wrk.step.works {
+		other := &wrk.step.works[i]
+		if other != wrk && (other.phase != running || other.percent < fullPace) {
+			away++
+		}
+	}
+	return away < max(1, wrk.step.step.MaxAway) && cel.choose(now, wrk.step, wrk) != nil
+}
--- a/internal/schedule/cell/report.go
+++ b/internal/schedule/cell/report.go
@@ -113,7 +113,7 @@
 func (cel *Cell) Lapse(now time.Time) {
 	for id, mac := range cel.vms {
 		isSilent := now.After(mac.leaseEnd)
-		if isSilent && len(mac.works) > 0 {
+		if isSilent && len(mac.works)+len(mac.strays) > 0 {
 			cel.cfg.Event(now, "vmLapsed", slog.String("vm", id), slog.Int("tasks", len(mac.works)),
 				slog.Duration("silent", now.Sub(mac.heardAt)))
 			for _, wrk := range mac.works {
@@ -195,12 +195,12 @@
 		mac.born = rpt.Born
 	}
 	if !mac.isHeld {
-		mac.isHeld, mac.isOld = true, false
+		mac.isHeld, mac.isOld, mac.firstHeard = true, false, now
 		mac.leaseEnd = later(mac.leaseEnd, now.Add(leaseBound(cel.cfg.LeaseMax)))
 		cel.cfg.Event(now, "vmHeld", slog.String("vm", id), slog.Int64("fence", cel.cfg.Fence),
 			slog.Int("active", len(rpt.Active)), slog.Int("ended", len(rpt.Ended)))
 	}
-	mac.clock, mac.clockAt, mac.heardAt = rpt.Clock, now, now
+	mac.clock, mac.clockAt, mac.heardAt, mac.isSilent = rpt.Clock, now, now, false
 	for _, end := range rpt.Ended {
 		if end.Number > mac.seen {
 			mac.seen = end.Number
@@ -400,6 +400,9 @@
 func (cel *Cell) stageDone(now time.Time, stg *stage) {
 	ent := stg.job
 	delete(cel.open, stg)
+	if !stg.startedAt.IsZero() {
+		cel.model(ent.queue).Observe(stg.step.Estimate, now.Sub(stg.startedAt))
+	}
 	rnd := ent.rounds[stg.occurrence]
 	rnd.left--
 	if rnd.left > 0 {
@@ -416,6 +419,14 @@
 	}
 }
 
+// Unanswered takes in that a look at the VM failed. It gets no new work before
+// it answers again.
+func (cel *Cell) Unanswered(id string) {
+	if mac, ok := cel.vms[id]; ok {
+		mac.isSilent = true
+	}
+}
+
 // Replaced takes in that another VM answers at the address: the life has ended
 // with all that ran there.
 func (cel *Cell) Replaced(now time.Time, id string) {
--- a/internal/schedule/cell/state.go
+++ b/internal/schedule/cell/state.go
@@ -52,6 +52,7 @@
 	doneCount  int
 	waitCount  int // works in phase waiting
 	isOpen     bool
+	startedAt  time.Time // of the task that was started last
 }
 
 // isDone reports whether all tasks of the stage are done.
@@ -91,12 +92,14 @@
 	isRecorded bool // the store holds that the VM may run tasks
 	isOld      bool // an earlier owner may have left tasks there that are not known
 	isHeld     bool // it has answered this owner
+	isSilent   bool // the last look got no answer
 	isLeaving  bool // it is to be emptied for maintenance or a move
 	born       int64
 	clock      time.Duration // at clockAt
 	clockAt    time.Time
 	leaseEnd   time.Time // what runs there has ended by then, unless more is sent
 	heardAt    time.Time
+	firstHeard time.Time // in this life, by this owner
 	used       plan.Demand
 	works      map[task.ID]*work
 	perStage   map[*stage]int
--- /dev/null
+++ b/internal/schedule/claim/claim.go
@@ -0,0 +1,106 @@
+// Package claim decides who owns a pool, or the fleet as a whole, for a term.
+// Claims are records of one topic; the offset of a claim is its fencing token.
+package claim
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"daisywheel/internal/schedule/archive"
+)
+
+const (
+	topic = "cells"
+	// attempts is how often a claim is tried while others append to the topic.
+	attempts = 20
+	// timeout bounds one attempt: two calls of 4 ms, 200 times over.
+	timeout = 1800 * time.Millisecond
+	// runsPerTerm leaves room between the run numbers of one term and the next:
+	// more than a task can be started in a term.
+	runsPerTerm = 1000
+)
+
+// form is the record of a claim.
+type form struct {
+	Address string `json:"address"`
+	Term    int    `json:"term"`
+}
+
+// Claim is a claim that has been made.
+type Claim struct {
+	fence int64
+	term  int
+}
+
+// Fence returns the fencing token. Those of later claims are higher, whatever
+// they claim.
+func (clm Claim) Fence() int64 { return clm.fence }
+
+// Term returns how many claims have been made of the same, 1 for the first.
+func (clm Claim) Term() int { return clm.term }
+
+// RunBase returns the number above which the runs of the term are numbered.
+func (clm Claim) RunBase() int { return (clm.term - 1) * runsPerTerm }
+
+// Take appends a claim on the condition that no other has been made since the
+// last one was read, so that terms and tokens rise.
+func Take(ctx context.Context, arc archive.Client, name, address string) (Claim, error) {
+	var err error
+	for range attempts {
+		var clm Claim
+		clm, err = take(ctx, arc, name, address)
+		if err == nil {
+			return clm, nil
+		}
+		if !errors.Is(err, archive.ErrMoved) {
+			break
+		}
+	}
+	return Claim{}, errors.Wrapf(err, "claim of %s", name)
+}
+
+func take(ctx context.Context, arc archive.Client, name, address string) (Claim, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	recs, end, err := arc.Newest(ctx, topic, 0)
+	if err != nil {
+		return Claim{}, err
+	}
+	last := form{}
+	for _, rec := range recs {
+		if rec.Key != name {
+			continue
+		}
+		if err := json.Unmarshal(rec.Value, &last); err != nil {
+			return Claim{}, errors.Wrap(err, "last claim")
+		}
+	}
+	frm := form{Address: address, Term: last.Term + 1}
+	data, err := json.Marshal(frm)
+	if err != nil {
+		return Claim{}, errors.Wrap(err, "claim")
+	}
+	offset, err := arc.Append(ctx, archive.Append{
+		Topic: topic, At: end, Records: []archive.Record{{Key: name, Value: data}},
+	})
+	// Tokens start at 1, since a VM takes a missing token for 0.
+	return Claim{fence: offset + 1, term: frm.Term}, err
+}
+
+// Find returns the address of the newest owner, empty when there is none.
+func Find(ctx context.Context, arc archive.Client, name string) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout/2)
+	defer cancel()
+	rec, ok, err := arc.Lookup(ctx, topic, 0, name)
+	if err != nil || !ok {
+		return "", err
+	}
+	var frm form
+	if err := json.Unmarshal(rec.Value, &frm); err != nil {
+		return "", errors.Wrapf(err, "claim of %s", name)
+	}
+	return frm.Address, nil
+}
--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"daisywheel/internal/result/code"
 	"daisywheel/internal/result/fault"
 	"daisywheel/internal/schedule/archive"
+	"daisywheel/internal/schedule/claim"
 	"daisywheel/internal/schedule/group"
 	"daisywheel/internal/schedule/ledger"
 	"daisywheel/internal/schedule/owner"
@@ -199,7 +200,7 @@
 
 // find looks up who owns the pool.
 func (gtw *Gateway) find(ctx context.Context, service string) {
-	address, err := owner.Find(ctx, gtw.cfg.Archive, service)
+	address, err := claim.Find(ctx, gtw.cfg.Archive, service)
 	if err != nil {
 		gtw.cfg.Journal.Warn(time.Now(), "ownerUnfound", slog.String("pool", service), slog.String("error", err.Error()))
 		return
--- a/internal/schedule/owner/duties.go
+++ b/internal/schedule/owner/duties.go
@@ -166,11 +166,12 @@
 	case agent.Unknown:
 		own.cfg.Agent.Drop(tgt.Address)
 	}
+	own.mu.Lock()
+	defer own.mu.Unlock()
 	if err != nil {
+		own.cel.Unanswered(tgt.VM)
 		return false, errors.Wrap(err, "hold")
 	}
-	own.mu.Lock()
-	defer own.mu.Unlock()
 	own.cel.Report(now, sent, tgt.VM, rpt)
 	own.wake()
 	if own.cel.HasUrgent() {
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -14,6 +14,7 @@
 
 	"daisywheel/internal/event/journal"
 	"daisywheel/internal/fleet/agent"
+	"daisywheel/internal/fleet/balance"
 	"daisywheel/internal/fleet/host"
 	"daisywheel/internal/fleet/queue"
 	"daisywheel/internal/job/plan"
@@ -21,6 +22,7 @@
 	"daisywheel/internal/result/fault"
 	"daisywheel/internal/schedule/archive"
 	"daisywheel/internal/schedule/cell"
+	"daisywheel/internal/schedule/claim"
 	"daisywheel/internal/schedule/ledger"
 )
 
@@ -85,24 +87,24 @@
 // Open claims the pool and restores its jobs. It fails when the store cannot be
 // reached or another owner claims the pool meanwhile.
 func Open(ctx context.Context, now time.Time, cfg Config) (*Owner, error) {
-	clm, err := claim(ctx, cfg)
+	clm, err := claim.Take(ctx, cfg.Archive, cfg.Service, cfg.Address)
 	if err != nil {
 		return nil, err
 	}
 	own := &Owner{
-		cfg: cfg, fence: clm.fence, holders: map[string]chan struct{}{}, pending: map[string]*submission{},
+		cfg: cfg, fence: clm.Fence(), holders: map[string]chan struct{}{}, pending: map[string]*submission{},
 		kick: make(chan struct{}, 1), flush: make(chan struct{}, 1),
 		quit: make(chan struct{}), lost: make(chan struct{}), done: make(chan struct{}),
 	}
 	own.cel = cell.New(cell.Config{
-		Name: cfg.Service, Fence: clm.fence, RunBase: clm.runBase(), LeaseMax: cfg.LeaseMax, StatusKept: cfg.StatusKept,
-		IsFirst: clm.term == 1, Event: own.event,
+		Name: cfg.Service, Fence: clm.Fence(), RunBase: clm.RunBase(), LeaseMax: cfg.LeaseMax, StatusKept: cfg.StatusKept,
+		IsFirst: clm.Term() == 1, Event: own.event,
 	})
 	own.cel.SetTable(cfg.Table)
 	if err := own.restore(ctx, now); err != nil {
 		return nil, err
 	}
-	own.event(now, "ownerStarted", slog.Int64("fence", clm.fence), slog.Int("term", clm.term))
+	own.event(now, "ownerStarted", slog.Int64("fence", clm.Fence()), slog.Int("term", clm.Term()))
 	own.group.Go(own.planLoop)
 	own.group.Go(own.storeLoop)
 	own.group.Go(own.tickLoop)
@@ -415,3 +417,18 @@
 	}
 	return true, fault.New(code.OutcomeUnknown, "cancellation of job %s may be stored", id)
 }
+
+// Pool returns what the balance of the fleet needs to know of the pool.
+func (own *Owner) Pool(now time.Time) balance.Pool {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	return own.cel.Pool(now)
+}
+
+// SetLeaving says which VMs are to be emptied.
+func (own *Owner) SetLeaving(now time.Time, vms map[string]bool) {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	own.cel.SetLeaving(now, vms)
+	own.wake()
+}
--- a/internal/schedule/rank/rank.go
+++ b/internal/schedule/rank/rank.go
@@ -1,7 +1,9 @@
 // Package rank orders the work that waits for room in a pool. It answers a surge
-// that is larger than the pool: work that can still meet its objective goes
-// first, by the latest time at which it must start; work that cannot any more
-// goes after it, oldest first, and uses what room is left.
+// that asks for several times what the pool holds. If all that waits were served
+// by its latest start, everything would begin at the last moment and end late.
+// So a job begins only while it still has a reserve, a job that has begun goes
+// before all that have not, and what cannot end in time any more uses the room
+// that is left.
 package rank
 
 import (
@@ -11,13 +13,13 @@
 
 // Claim is what the order depends on for one step that waits.
 type Claim struct {
-	Priority   int           // of the queue, 0 first
-	Objective  time.Time     // when the job should be done
-	Remaining  time.Duration // longest chain of what is left of the job
-	IsLasting  bool
-	IsHelper   bool // background work
-	Submitted  time.Time
-	HasStarted bool // the job has used time on VMs already
+	Priority  int           // of the queue, 0 first
+	Objective time.Time     // when the job should be done
+	Remaining time.Duration // expected time of the longest chain that is left
+	IsLasting bool
+	IsHelper  bool // background work
+	HasBegun  bool // the job has used time on VMs already
+	Submitted time.Time
 }
 
 // Band groups claims; lower ones go first.
@@ -27,11 +29,18 @@
 // so it is placed before what comes and goes.
 const (
 	Lasting Band = iota
-	InTime
+	Begun
+	Fresh
 	Background
 	Late
 )
 
+// Reserves, as a share of the expected time.
+const (
+	freshReserve = 0.15 // to begin a job
+	begunReserve = -0.3 // to go on with one: the expectation may be too long
+)
+
 // BandOf returns the band of a claim.
 func BandOf(now time.Time, clm Claim) Band {
 	switch {
@@ -39,10 +48,17 @@
 		return Background
 	case clm.IsLasting:
 		return Lasting
-	case now.Add(clm.Remaining).After(clm.Objective):
-		return Late
+	case clm.HasBegun && fits(now, clm, begunReserve):
+		return Begun
+	case !clm.HasBegun && fits(now, clm, freshReserve):
+		return Fresh
 	}
-	return InTime
+	return Late
+}
+
+func fits(now time.Time, clm Claim, reserve float64) bool {
+	need := time.Duration((1 + reserve) * float64(clm.Remaining))
+	return !now.Add(need).After(clm.Objective)
 }
 
 // Key is the place of a claim in the order.
@@ -55,7 +71,7 @@
 // KeyOf returns the key of a claim.
 func KeyOf(now time.Time, clm Claim) Key {
 	key := Key{band: BandOf(now, clm), priority: clm.Priority, at: clm.Submitted}
-	if key.band == InTime {
+	if key.band == Begun || key.band == Fresh {
 		key.at = clm.Objective.Add(-clm.Remaining)
 	}
 	return key
--- /dev/null
+++ b/internal/schedule/service/fleet.go
@@ -0,0 +1,188 @@
+package service
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"daisywheel/internal/fleet/balance"
+	"daisywheel/internal/result/code"
+	"daisywheel/internal/result/fault"
+	"daisywheel/internal/schedule/claim"
+	"daisywheel/internal/schedule/group"
+	"daisywheel/internal/schedule/steward"
+)
+
+const (
+	methodReport = "fleet.report"
+	// reportEach is the pause between reports to the steward, one round of his.
+	reportEach    = 200 * time.Millisecond
+	reportTimeout = 500 * time.Millisecond
+	// leaveFor is how long VMs stay closed to new work while the steward that
+	// asked for it is not heard: longer than it takes to replace him.
+	leaveFor = 4 * time.Second
+)
+
+// leave is the answer to the last report of a pool.
+type leave struct {
+	vms map[string]bool
+	at  time.Time
+}
+
+// reconcileSteward opens or closes the steward. The caller holds the lock.
+func (svc *Service) reconcileSteward(now time.Time, dealt map[int]bool) {
+	part := group.PartitionOf(steward.Name, svc.cfg.Partitions)
+	if svc.steward != nil && (!dealt[part] || isClosed(svc.steward.Lost())) {
+		go svc.steward.Close()
+		svc.steward, svc.failedAt[steward.Name] = nil, now
+	}
+	isTried := now.Sub(svc.failedAt[steward.Name]) < reopenAfter
+	if !dealt[part] || svc.steward != nil || svc.opening[steward.Name] || isTried {
+		return
+	}
+	svc.opening[steward.Name] = true
+	go svc.openSteward(part)
+}
+
+func (svc *Service) openSteward(part int) {
+	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
+	defer cancel()
+	stw, err := steward.Open(ctx, time.Now(), steward.Config{
+		Holder: svc.cfg.Name, Address: svc.cfg.PeerAddress, Partition: part, OrderLease: svc.cfg.OrderLease,
+		Archive: svc.cfg.Archive, Directory: svc.cfg.Directory, Journal: svc.cfg.Journal, Table: svc.Table,
+	})
+	now := time.Now()
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	delete(svc.opening, steward.Name)
+	if err != nil {
+		svc.failedAt[steward.Name] = now
+		svc.cfg.Journal.Warn(now, "stewardNotOpened", slog.String("error", err.Error()))
+		return
+	}
+	if svc.stopping.Load() {
+		go stw.Close()
+		return
+	}
+	svc.steward = stw
+	for _, wav := range svc.waves {
+		stw.Request(now, wav)
+	}
+}
+
+// report tells the steward how the owned pools stand, and takes in which VMs are
+// to be emptied.
+func (svc *Service) report(now time.Time) {
+	svc.mu.Lock()
+	pools := make([]balance.Pool, 0, len(svc.owners))
+	for _, own := range svc.owners {
+		pools = append(pools, own.Pool(now))
+	}
+	svc.mu.Unlock()
+	for _, pol := range pools {
+		vms, err := svc.tellSteward(now, pol)
+		svc.takeLeaving(now, pol.Name, vms, err)
+	}
+}
+
+func (svc *Service) takeLeaving(now time.Time, pool string, vms []string, err error) {
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	if err != nil {
+		if now.Sub(svc.leaving[pool].at) < leaveFor {
+			return
+		}
+		svc.fleetAt = ""
+	}
+	lve := leave{vms: make(map[string]bool, len(vms)), at: now}
+	for _, vm := range vms {
+		lve.vms[vm] = true
+	}
+	svc.leaving[pool] = lve
+	if own := svc.owners[pool]; own != nil {
+		own.SetLeaving(now, lve.vms)
+	}
+}
+
+func (svc *Service) tellSteward(now time.Time, pol balance.Pool) ([]string, error) {
+	svc.mu.Lock()
+	stw, address := svc.steward, svc.fleetAt
+	svc.mu.Unlock()
+	if stw != nil {
+		return stw.Report(now, pol), nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	var err error
+	if address == "" {
+		address, err = claim.Find(ctx, svc.cfg.Archive, steward.Name)
+		if err != nil || address == "" {
+			return nil, fault.New(code.NotReady, "the fleet has no steward that is known here")
+		}
+		svc.mu.Lock()
+		svc.fleetAt = address
+		svc.mu.Unlock()
+	}
+	var vms []string
+	if err = svc.link.Call(ctx, address, methodReport, formOf(now, pol), &vms); err != nil {
+		svc.mu.Lock()
+		svc.fleetAt = ""
+		svc.mu.Unlock()
+	}
+	return vms, err
+}
+
+func (svc *Service) serveReport(_ context.Context, params json.RawMessage) (any, error) {
+	var frm poolForm
+	if err := json.Unmarshal(params, &frm); err != nil {
+		return nil, fault.Wrap(err, code.BadRequest, "report of a pool")
+	}
+	svc.mu.Lock()
+	stw := svc.steward
+	svc.mu.Unlock()
+	if stw == nil {
+		return nil, fault.New(code.NotReady, "this entry is not the steward of the fleet")
+	}
+	now := time.Now()
+	return stw.Report(now, poolOf(now, frm)), nil
+}
+
+// poolForm is a report between entries. Times are ages, as clocks differ.
+type poolForm struct {
+	Name   string   `json:"name"`
+	Wanted int64    `json:"wantedMilliCores"`
+	VMs    []vmForm `json:"vms"`
+}
+
+type vmForm struct {
+	ID         string `json:"id"`
+	MilliCores int64  `json:"milliCores"`
+	Tasks      int    `json:"tasks,omitempty"`
+	Lasting    int    `json:"lasting,omitempty"`
+	AgeMs      int64  `json:"ageMs"`
+	IsUsable   bool   `json:"isUsable,omitempty"`
+	IsLeaving  bool   `json:"isLeaving,omitempty"`
+}
+
+func formOf(now time.Time, pol balance.Pool) poolForm {
+	frm := poolForm{Name: pol.Name, Wanted: pol.Wanted, VMs: make([]vmForm, 0, len(pol.VMs))}
+	for _, vm := range pol.VMs {
+		frm.VMs = append(frm.VMs, vmForm{
+			ID: vm.ID, MilliCores: vm.MilliCores, Tasks: vm.Tasks, Lasting: vm.Lasting,
+			AgeMs: now.Sub(vm.Since).Milliseconds(), IsUsable: vm.IsUsable, IsLeaving: vm.IsLeaving,
+		})
+	}
+	return frm
+}
+
+func poolOf(now time.Time, frm poolForm) balance.Pool {
+	pol := balance.Pool{Name: frm.Name, Wanted: frm.Wanted}
+	for _, vm := range frm.VMs {
+		pol.VMs = append(pol.VMs, balance.VM{
+			ID: vm.ID, MilliCores: vm.MilliCores, Tasks: vm.Tasks, Lasting: vm.Lasting,
+			Since: now.Add(-time.Duration(vm.AgeMs) * time.Millisecond), IsUsable: vm.IsUsable, IsLeaving: vm.IsLeaving,
+		})
+	}
+	return pol
+}
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -18,6 +18,7 @@
 	"daisywheel/internal/fleet/directory"
 	"daisywheel/internal/fleet/host"
 	"daisywheel/internal/fleet/queue"
+	"daisywheel/internal/fleet/upkeep"
 	"daisywheel/internal/kernel/part"
 	"daisywheel/internal/peer/link"
 	"daisywheel/internal/schedule/archive"
@@ -25,6 +26,7 @@
 	"daisywheel/internal/schedule/gateway"
 	"daisywheel/internal/schedule/group"
 	"daisywheel/internal/schedule/owner"
+	"daisywheel/internal/schedule/steward"
 )
 
 // Times of the duties.
@@ -56,6 +58,7 @@
 	PeerAddress string
 	Partitions  int
 	LeaseMax    time.Duration
+	OrderLease  time.Duration
 	StatusKept  time.Duration
 	Archive     archive.Client
 	Directory   directory.Client
@@ -78,6 +81,10 @@
 	opening  map[string]bool
 	failedAt map[string]time.Time
 	joinedAt time.Time
+	steward  *steward.Steward
+	waves    map[int64]upkeep.Wave
+	leaving  map[string]leave // by pool
+	fleetAt  string           // address of the steward
 	duties   []*part.Part
 	stopping atomic.Bool
 }
@@ -87,7 +94,9 @@
 	svc := &Service{
 		cfg: cfg, link: link.New(link.Config{}), started: now, hosts: map[string]host.Host{},
 		owners: map[string]*owner.Owner{}, opening: map[string]bool{}, failedAt: map[string]time.Time{}, joinedAt: now,
+		waves: map[int64]upkeep.Wave{}, leaving: map[string]leave{},
 	}
+	svc.link.Handle(methodReport, svc.serveReport)
 	svc.gateway = gateway.New(gateway.Config{
 		Address: cfg.PeerAddress, Partitions: cfg.Partitions, Link: svc.link, Archive: cfg.Archive,
 		Journal: cfg.Journal, Local: svc.Owner,
@@ -105,6 +114,7 @@
 		part.Start("group", grp.Run),
 		part.Start("hosts", svc.followHosts),
 		part.Every("reconcile", tick, svc.reconcile),
+		part.Every("report", reportEach, svc.report),
 	}
 	return svc, nil
 }
@@ -137,9 +147,12 @@
 		dty.Stop()
 	}
 	svc.mu.Lock()
-	owners := svc.owners
-	svc.owners = map[string]*owner.Owner{}
+	owners, stw := svc.owners, svc.steward
+	svc.owners, svc.steward = map[string]*owner.Owner{}, nil
 	svc.mu.Unlock()
+	if stw != nil {
+		stw.Close()
+	}
 	for _, own := range owners {
 		own.Close()
 	}
@@ -203,6 +216,13 @@
 	switch {
 	case wsh.Err != nil:
 		svc.cfg.Journal.Warn(now, "wishUnreadable", slog.String("error", wsh.Err.Error()))
+	case wsh.Wave != nil:
+		svc.mu.Lock()
+		defer svc.mu.Unlock()
+		svc.waves[wsh.Wave.Number] = *wsh.Wave
+		if svc.steward != nil {
+			svc.steward.Request(now, *wsh.Wave)
+		}
 	case wsh.Table != nil:
 		old := svc.table.Load()
 		if old != nil && old.Version() >= wsh.Table.Version() {
@@ -314,6 +334,7 @@
 			go own.Close()
 		}
 	}
+	svc.reconcileSteward(now, dealt)
 	for _, pool := range tab.Services() {
 		part := group.PartitionOf(pool.Name, svc.cfg.Partitions)
 		isTried := now.Sub(svc.failedAt[pool.Name]) < reopenAfter
--- /dev/null
+++ b/internal/schedule/steward/steward.go
@@ -0,0 +1,384 @@
+// Package steward looks after the fleet as a whole, for one term at one entry:
+// it moves VMs between pools and carries out maintenance waves. It is the only
+// one that orders machines about. The pools' owners empty the VMs that it names
+// and tell it when they are empty.
+package steward
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"daisywheel/internal/event/journal"
+	"daisywheel/internal/fleet/balance"
+	"daisywheel/internal/fleet/directory"
+	"daisywheel/internal/fleet/queue"
+	"daisywheel/internal/fleet/upkeep"
+	"daisywheel/internal/kernel/part"
+	"daisywheel/internal/schedule/archive"
+	"daisywheel/internal/schedule/claim"
+)
+
+// Name is what the steward claims.
+const Name = "fleet"
+
+// Times of the steward.
+const (
+	// round is the pause between decisions: a tenth of the time that demand stays
+	// with one queue on the users' sites.
+	round = 200 * time.Millisecond
+	// reportAge is how old a pool's report may be.
+	reportAge = 1500 * time.Millisecond
+	// listEach is how often the machines are listed while something is going on.
+	// The list takes few calls a second from all entries together.
+	listEach = 400 * time.Millisecond
+	// callTimeout bounds a call to the directory or the log.
+	callTimeout = time.Second
+	// orderWithin is the longest time between the proof that this is still the
+	// term and the order that rests on it.
+	orderWithin = time.Second
+	// orderRetry is the pause before an order without an answer is repeated, which
+	// does no harm as a done order is answered alike.
+	orderRetry = 500 * time.Millisecond
+	// emptyWithin is how long a VM may take to be emptied for a move; what runs
+	// there then is worth more than the move.
+	emptyWithin = 3 * time.Second
+	// moveWithin is how long a move may take in all; the platform's takes 1.5 s.
+	moveWithin = 8 * time.Second
+	// drainWithin is how long a VM may take to be emptied for maintenance before
+	// another one takes its place, and stayPause how long until it is tried again.
+	drainWithin = 7 * time.Second
+	stayPause   = 3 * time.Second
+)
+
+// Config holds what a Steward needs.
+type Config struct {
+	Holder     string // name of this entry in orders
+	Address    string
+	Partition  int
+	OrderLease time.Duration // two holders keep that far apart
+	Archive    archive.Client
+	Directory  directory.Client
+	Journal    *journal.Journal
+	Table      func() *queue.Table
+}
+
+// Steward is the fleet's steward for one term. It is safe for concurrent use.
+type Steward struct {
+	cfg   Config
+	clm   claim.Claim
+	since time.Time
+	seq   int64
+	// unsettled are records of an append without an answer.
+	unsettled []archive.Record
+	mu        sync.Mutex
+	reports   map[string]report
+	machines  map[string]directory.Machine // by name
+	listedAt  time.Time
+	tasks     map[string]*errand // by machine
+	waves     map[int64]*wave
+	// unrecorded is maintenance that is done and not stored as done.
+	unrecorded []*errand
+	loop       *part.Part
+	lost       chan struct{}
+	lostOnce   sync.Once
+}
+
+type report struct {
+	pool balance.Pool
+	at   time.Time
+}
+
+// errand is something that is to be done with a machine.
+type errand struct {
+	machine   string
+	vm        string // its life when the errand began
+	pool      string // where it goes, for a move
+	wave      int64  // for maintenance
+	began     time.Time
+	orderedAt time.Time // of the last order
+	isOrdered bool      // an order may have been carried out
+	isDone    bool      // the order was carried out; the machine is not back yet
+	isBusy    bool      // an order is in flight
+	// isRestored tells that an earlier steward may have ordered it.
+	isRestored bool
+	milli      int64
+}
+
+// Open claims the fleet and restores the maintenance that has begun.
+func Open(ctx context.Context, now time.Time, cfg Config) (*Steward, error) {
+	clm, err := claim.Take(ctx, cfg.Archive, Name, cfg.Address)
+	if err != nil {
+		return nil, err
+	}
+	stw := &Steward{
+		cfg: cfg, clm: clm, since: now, reports: map[string]report{}, machines: map[string]directory.Machine{},
+		tasks: map[string]*errand{}, waves: map[int64]*wave{}, lost: make(chan struct{}),
+	}
+	if err := stw.append(ctx, nil); err != nil {
+		return nil, err
+	}
+	if err := stw.restore(ctx, now); err != nil {
+		return nil, err
+	}
+	cfg.Journal.Event(now, "stewardStarted", slog.Int64("fence", clm.Fence()), slog.Int("term", clm.Term()))
+	stw.loop = part.Every("steward", round, stw.step)
+	return stw, nil
+}
+
+// Lost returns a channel that is closed when another entry has taken over.
+func (stw *Steward) Lost() <-chan struct{} { return stw.lost }
+
+// Close ends the term.
+func (stw *Steward) Close() {
+	stw.loop.Stop()
+	stw.cfg.Journal.Event(time.Now(), "stewardStopped", slog.Int64("fence", stw.clm.Fence()))
+}
+
+// append stores records on the condition that the term lasts. Without records it
+// only proves that.
+func (stw *Steward) append(ctx context.Context, recs []archive.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	app := archive.Append{
+		Topic: topic, Partition: stw.cfg.Partition, Records: recs, At: archive.Anywhere,
+		Producer: Name, Epoch: stw.clm.Fence(), Seq: stw.seq,
+	}
+	_, err := stw.cfg.Archive.Append(ctx, app)
+	if errors.Is(err, archive.ErrFenced) {
+		stw.lostOnce.Do(func() { close(stw.lost) })
+	}
+	return err
+}
+
+// Report takes in how a pool stands and returns the VMs that it should empty.
+func (stw *Steward) Report(now time.Time, pol balance.Pool) []string {
+	stw.mu.Lock()
+	defer stw.mu.Unlock()
+	stw.reports[pol.Name] = report{pool: pol, at: now}
+	var leaving []string
+	for _, ern := range stw.tasks {
+		for _, vm := range pol.VMs {
+			if vm.ID == ern.vm {
+				leaving = append(leaving, ern.vm)
+			}
+		}
+	}
+	return leaving
+}
+
+// Request takes in a maintenance wave that the operator asks for.
+func (stw *Steward) Request(now time.Time, wav upkeep.Wave) {
+	stw.mu.Lock()
+	defer stw.mu.Unlock()
+	if stw.waves[wav.Number] != nil && stw.waves[wav.Number].isAsked {
+		return
+	}
+	stw.ask(now, wav)
+}
+
+// step is one round of decisions.
+func (stw *Steward) step(now time.Time) {
+	stw.list(now)
+	if now.Sub(stw.since) < stw.cfg.OrderLease {
+		return // the holder before may still have orders on their way
+	}
+	stw.mu.Lock()
+	stw.expire(now)
+	stw.planWaves(now)
+	stw.planMoves(now)
+	ready := stw.ready(now)
+	stw.mu.Unlock()
+	if len(ready) > 0 {
+		stw.order(now, ready)
+	}
+	stw.reportWaves(now)
+}
+
+// list reads the machines while something is going on.
+func (stw *Steward) list(now time.Time) {
+	stw.mu.Lock()
+	isDue := now.Sub(stw.listedAt) >= listEach && (len(stw.tasks) > 0 || len(stw.machines) == 0 || stw.isMissing()) ||
+		now.Sub(stw.listedAt) >= listIdle
+	stw.mu.Unlock()
+	if !isDue {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	all, err := stw.cfg.Directory.Machines(ctx)
+	if err != nil {
+		stw.cfg.Journal.Warn(now, "machinesUnlisted", slog.String("error", err.Error()))
+		return
+	}
+	stw.mu.Lock()
+	defer stw.mu.Unlock()
+	stw.listedAt = now
+	clear(stw.machines)
+	for _, mac := range all {
+		stw.machines[mac.Name] = mac
+	}
+	stw.complete(now)
+}
+
+// listIdle is how often the machines are listed while nothing is going on.
+const listIdle = 3 * time.Second
+
+// isMissing reports whether a pool has a VM that the list does not show.
+func (stw *Steward) isMissing() bool {
+	known := make(map[string]bool, len(stw.machines))
+	for _, mac := range stw.machines {
+		known[mac.VM] = true
+	}
+	for _, rpt := range stw.reports {
+		for _, vm := range rpt.pool.VMs {
+			if vm.IsUsable && !known[vm.ID] {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// complete ends the errands of machines that are back in another life.
+func (stw *Steward) complete(now time.Time) {
+	for name, ern := range stw.tasks {
+		mac, ok := stw.machines[name]
+		isBack := ok && mac.IsUp && mac.VM != ern.vm && mac.VM != ""
+		switch {
+		case !ok || isBack && (ern.isDone || ern.wave == 0 && ern.isOrdered):
+			stw.finish(now, ern, ok)
+		case isBack:
+			ern.vm = mac.VM // it has started anew by itself
+		}
+	}
+}
+
+func (stw *Steward) finish(now time.Time, ern *errand, isListed bool) {
+	delete(stw.tasks, ern.machine)
+	stw.cfg.Journal.Event(now, "machineBack", slog.String("machine", ern.machine), slog.Int64("wave", ern.wave),
+		slog.String("pool", ern.pool), slog.Bool("listed", isListed), slog.Duration("after", now.Sub(ern.began)))
+}
+
+// expire gives up what takes too long: a VM that cannot be emptied, or a machine
+// that does not come back from a move.
+func (stw *Steward) expire(now time.Time) {
+	for name, ern := range stw.tasks {
+		age := now.Sub(ern.began)
+		switch {
+		case ern.isBusy || ern.isRestored:
+			continue
+		case ern.wave == 0 && (age > moveWithin || !ern.isOrdered && age > emptyWithin):
+		case ern.wave > 0 && !ern.isOrdered && age > drainWithin:
+			stw.waveOf(ern.wave).stays[name] = now.Add(stayPause)
+		default:
+			continue
+		}
+		delete(stw.tasks, name)
+		stw.cfg.Journal.Event(now, "errandGivenUp", slog.String("machine", name), slog.String("vm", ern.vm),
+			slog.String("pool", ern.pool), slog.Int64("wave", ern.wave), slog.Bool("ordered", ern.isOrdered))
+	}
+}
+
+// planMoves begins the moves that the balance asks for.
+func (stw *Steward) planMoves(now time.Time) {
+	tab := stw.cfg.Table()
+	if tab == nil {
+		return
+	}
+	names := map[string]string{}
+	var pools []balance.Pool
+	standby := map[string]*balance.Pool{}
+	for _, svc := range tab.Services() {
+		if svc.IsStandby {
+			standby[svc.Name] = &balance.Pool{Name: svc.Name, IsStandby: true}
+		}
+	}
+	incoming := stw.incoming()
+	for name, mac := range stw.machines {
+		if mac.VM != "" {
+			names[mac.VM] = name
+		}
+		pol := standby[mac.Pool]
+		if pol != nil && mac.IsUp && stw.tasks[name] == nil {
+			// A machine that is off has no life, so its own name stands for it.
+			pol.VMs = append(pol.VMs, balance.VM{ID: name, MilliCores: mac.MilliCores, IsUsable: true})
+			names[name] = name
+		}
+	}
+	for _, pol := range standby {
+		pools = append(pools, *pol)
+	}
+	for _, rpt := range stw.reports {
+		if now.Sub(rpt.at) > reportAge {
+			continue
+		}
+		pol := rpt.pool
+		pol.Incoming = incoming[pol.Name]
+		pol.VMs = append([]balance.VM(nil), pol.VMs...)
+		for i := range pol.VMs {
+			mac, ok := stw.machines[names[pol.VMs[i].ID]]
+			if !ok || stw.tasks[mac.Name] != nil {
+				pol.VMs[i].IsUsable = false
+			}
+		}
+		pools = append(pools, pol)
+	}
+	for _, trf := range balance.Decide(now, pools) {
+		mac := stw.machines[names[trf.VM]]
+		stw.tasks[mac.Name] = &errand{machine: mac.Name, vm: mac.VM, pool: trf.To, began: now, milli: mac.MilliCores}
+		stw.cfg.Journal.Event(now, "moveBegun", slog.String("machine", mac.Name), slog.String("vm", trf.VM),
+			slog.String("from", trf.From), slog.String("to", trf.To))
+	}
+}
+
+// incoming returns what is on its way to each pool, in thousandths of a core.
+func (stw *Steward) incoming() map[string]int64 {
+	sums := map[string]int64{}
+	for _, ern := range stw.tasks {
+		if ern.pool != "" {
+			sums[ern.pool] += ern.milli
+		}
+	}
+	return sums
+}
+
+// ready returns the errands whose VM is empty.
+func (stw *Steward) ready(now time.Time) []*errand {
+	empty := map[string]bool{}
+	for _, rpt := range stw.reports {
+		if now.Sub(rpt.at) > reportAge {
+			continue
+		}
+		for _, vm := range rpt.pool.VMs {
+			empty[vm.ID] = vm.IsLeaving && vm.Tasks == 0
+		}
+	}
+	var ready []*errand
+	for _, ern := range stw.tasks {
+		mac, ok := stw.machines[ern.machine]
+		isEmpty := empty[ern.vm] || ern.isOrdered || ern.isRestored && !mac.IsUp || stw.isStandby(mac.Pool)
+		if !ok || !isEmpty || ern.isDone || ern.isBusy || now.Sub(ern.orderedAt) < orderRetry {
+			continue
+		}
+		ern.isBusy = true
+		ready = append(ready, ern)
+	}
+	return ready
+}
+
+func (stw *Steward) isStandby(pool string) bool {
+	tab := stw.cfg.Table()
+	if tab == nil {
+		return false
+	}
+	for _, svc := range tab.Services() {
+		if svc.Name == pool {
+			return svc.IsStandby
+		}
+	}
+	return false
+}
