--- a/internal/schedule/cell/report.go
+++ b/internal/schedule/cell/report.go
@@ -155,7 +155,9 @@
 		return agent.Target{}, agent.Hold{}, false
 	}
 	hld := agent.Hold{Acked: mac.acked}
-	if mac.isHeld {
+	// A VM that does not answer is asked without renewing, so that its leases run
+	// out on our clock too.
+	if mac.isHeld && !mac.isSilent {
 		hld.Wait, hld.Until = wait, cel.grant(now, mac)
 	}
 	return cel.target(mac), hld, true
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -49,6 +49,10 @@
 	// claimed again.
 	reopenAfter = 700 * time.Millisecond
 	openTimeout = 5 * time.Second
+	// leaseLength is how long tasks outlive the last word of an owner: longer than
+	// a change of owner takes (a membership of 2 s, a claim and a look), and not
+	// much longer, as the tasks of a dead VM wait as long.
+	leaseLength = 5 * time.Second
 )
 
 // Config holds what a Service needs.
@@ -359,7 +363,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
 	defer cancel()
 	own, err := owner.Open(ctx, time.Now(), owner.Config{
-		Service: pool, Partition: part, Address: svc.cfg.PeerAddress, LeaseMax: svc.cfg.LeaseMax,
+		Service: pool, Partition: part, Address: svc.cfg.PeerAddress, LeaseMax: min(svc.cfg.LeaseMax, leaseLength),
 		StatusKept: svc.cfg.StatusKept, Archive: svc.cfg.Archive, Agent: svc.cfg.Agent, Journal: svc.cfg.Journal,
 		Metrics: svc.cfg.Metrics, Table: tab,
 	})
