--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -29,8 +29,9 @@
 	patience = 900 * time.Millisecond
 	// retryPause is the pause before an owner is looked for again.
 	retryPause = 60 * time.Millisecond
-	// askTimeout bounds the wait for the answer of an owner.
-	askTimeout = 1500 * time.Millisecond
+	// askTimeout bounds the wait for the answer of an owner: an append by a store
+	// that is 60 times as slow as usual, twice over.
+	askTimeout = 900 * time.Millisecond
 )
 
 // Names of the methods between entries.
@@ -143,25 +144,33 @@
 	return rep.Count, err
 }
 
-// call asks the owner, wherever it is, and looks for it anew while none is found.
+// call asks the owner, wherever it is. While none is found, or one does not
+// answer, it looks for it anew: each question does the same when it is repeated,
+// as jobs have ids. An unknown outcome stays so unless a repeat is answered.
 func (gtw *Gateway) call(ctx context.Context, method string, ask ask, local func(*owner.Owner) (reply, error)) (reply, error) {
 	began := time.Now()
-	var err error
+	var unknown error
 	for isFirst := true; ; isFirst = false {
-		var rep reply
-		rep, err = gtw.callOnce(ctx, method, ask, local)
-		if err == nil || !isElsewhere(err) {
+		rep, err := gtw.callOnce(ctx, method, ask, local)
+		isUnknown := fault.CodeOf(err) == code.OutcomeUnknown
+		if err == nil || !isElsewhere(err) && !isUnknown {
 			return rep, err
 		}
-		if !isFirst && time.Since(began) > patience || ctx.Err() != nil {
-			break
+		if isUnknown {
+			unknown = err
+		}
+		isOver := !isFirst && time.Since(began) > patience && unknown == nil
+		if isOver || ctx.Err() != nil {
+			if unknown != nil {
+				err = unknown
+			}
+			return reply{}, err
 		}
 		if !isFirst {
 			sleep(ctx, retryPause)
 		}
 		gtw.find(ctx, ask.Service)
 	}
-	return reply{}, err
 }
 
 func sleep(ctx context.Context, wait time.Duration) {
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -31,10 +31,12 @@
 
 // Times of the duties.
 const (
-	// wishWait is how long a read waits for a record of the operator.
-	wishWait = 10 * time.Second
+	// wishWait is how long a read waits for a record of the operator. A read that
+	// went unanswered must have ended, and the next one be answered, within the 3 s
+	// in which an entry that was cut off has to be up to date.
+	wishWait = 1200 * time.Millisecond
 	// wishSlack is added to the wait before the read counts as unanswered.
-	wishSlack = time.Second
+	wishSlack = 600 * time.Millisecond
 	// wishRetry is the pause after a read that failed. A configuration has to be
 	// in force within 2 s of its acknowledgement.
 	wishRetry = 150 * time.Millisecond
@@ -132,8 +134,20 @@
 // Table returns the configuration in force, or nil before the first.
 func (svc *Service) Table() *queue.Table { return svc.table.Load() }
 
-// IsReady reports whether callers can be served here.
-func (svc *Service) IsReady() bool { return !svc.stopping.Load() && svc.table.Load() != nil }
+// IsReady reports whether callers can be served here: not while this entry may
+// be cut off from the store, as others are not.
+func (svc *Service) IsReady(now time.Time) bool {
+	if svc.stopping.Load() || svc.table.Load() == nil {
+		return false
+	}
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	return now.Sub(svc.joinedAt) < unreadyAfter
+}
+
+// unreadyAfter is how long the membership may be unconfirmed before the balancer
+// is told to go elsewhere: three joins.
+const unreadyAfter = 2 * time.Second
 
 // Owner returns the owner of the pool if it is in this process.
 func (svc *Service) Owner(pool string) *owner.Owner {
