Take no task for lapsed while another owner may have renewed; foresee turns

Change: a lapse holds only if this was still the owner after it; a test that failed before. Turns of queues are foreseen; late work gives its VMs away.

--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -13,16 +13,16 @@
 
 // Outcomes of an order.
 const (
-	Unknown  Outcome = iota // no answer: it may have been carried out, or may be later
-	Done                    // carried out, now or before
-	Refused                 // not carried out and never will be
-	Stale                   // refused: the run number is not above one that ended there
-	Fenced                  // refused: the VM has seen a higher fencing token
-	Reborn                  // refused: another life of the VM answers at the address
-	Unwell                  // refused: the VM is overloaded or failing
-	NoTicket                // refused: the advice ticket does not hold
-	Unreached               // no connection to the VM: the order was not sent
-	BadOrder                // refused: the VM cannot read the order
+	Unknown   Outcome = iota // no answer: it may have been carried out, or may be later
+	Done                     // carried out, now or before
+	Refused                  // not carried out and never will be
+	Stale                    // refused: the run number is not above one that ended there
+	Fenced                   // refused: the VM has seen a higher fencing token
+	Reborn                   // refused: another life of the VM answers at the address
+	Unwell                   // refused: the VM is overloaded or failing
+	NoTicket                 // refused: the advice ticket does not hold
+	Unreached                // no connection to the VM: the order was not sent
+	BadOrder                 // refused: the VM cannot read the order
 )
 
 // Target is the life of a VM that an order is meant for, with the token of the
--- a/internal/fleet/balance/balance.go
+++ b/internal/fleet/balance/balance.go
@@ -1,13 +1,16 @@
 // Package balance decides which VMs change their pool. It answers demand that
 // goes from queue to queue in turns, each asking for more than its pool holds:
-// idle VMs follow the work, from the pools whose turn is over and from the spare
-// pool. Only idle VMs move, so nothing is interrupted.
+// VMs follow the work, from the pools whose turn is over and from the spare pool.
+// VMs with lasting tasks stay; others are emptied by letting their tasks end, so
+// nothing is interrupted.
 package balance
 
 import (
 	"cmp"
 	"slices"
 	"time"
+
+	"daisywheel/internal/fleet/turns"
 )
 
 const (
@@ -32,14 +35,16 @@
 	Since      time.Time
 	IsUsable   bool
 	IsLeaving  bool
+	IsSilent   bool // it does not answer its owner
 }
 
 // Pool is a pool as its owner sees it.
 type Pool struct {
 	Name      string
 	IsStandby bool  // its VMs are off
-	Wanted    int64 // thousandths of a core that its work can use now
+	Wanted    int64 // thousandths of a core that work which can end in time can use
 	Incoming  int64 // thousandths of a core that are on their way
+	Arrived   turns.Arrival
 	VMs       []VM
 }
 
@@ -125,16 +130,18 @@
 	return acc.deficit() < other.deficit()
 }
 
-// idle returns a VM that the pool can give, or -1.
+// idle returns the VM with the fewest tasks that the pool can give, or -1.
 func (acc *account) idle(now time.Time) int {
 	if !acc.pool.IsStandby && acc.count <= keepVMs {
 		return -1
 	}
+	best := -1
 	for i, vm := range acc.pool.VMs {
-		isIdle := vm.IsUsable && !vm.IsLeaving && vm.Tasks == 0 && now.Sub(vm.Since) >= restAfterMove
-		if isIdle && (acc.pool.IsStandby || -acc.deficit() >= vm.MilliCores) {
-			return i
+		isFree := vm.IsUsable && !vm.IsLeaving && vm.Lasting == 0 && now.Sub(vm.Since) >= restAfterMove
+		isSpare := acc.pool.IsStandby || -acc.deficit() >= vm.MilliCores
+		if isFree && isSpare && (best < 0 || vm.Tasks < acc.pool.VMs[best].Tasks) {
+			best = i
 		}
 	}
-	return -1
+	return best
 }
--- /dev/null
+++ b/internal/fleet/balance/balance_test.go
@@ -0,0 +1,76 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"daisywheel/internal/fleet/balance"
+)
+
+var now = time.Unix(1000, 0)
+
+func pool(name string, wanted int64, idle, busy int) balance.Pool {
+	pol := balance.Pool{Name: name, Wanted: wanted}
+	for i := range idle + busy {
+		vm := balance.VM{ID: fmt.Sprintf("%s-%d", name, i), MilliCores: 16000, IsUsable: true, Since: now.Add(-time.Minute)}
+		if i >= idle {
+			vm.Tasks, vm.Lasting = 3, 1
+		}
+		pol.VMs = append(pol.VMs, vm)
+	}
+	return pol
+}
+
+func TestIdleVMsFollowTheTurn(t *testing.T) {
+	spare := pool("spare", 0, 2, 0)
+	spare.IsStandby = true
+	got := balance.Decide(now, []balance.Pool{pool("gate", 160000, 0, 6), pool("haul", 0, 7, 2), spare})
+	from := map[string]int{}
+	for _, trf := range got {
+		if trf.To != "gate" {
+			t.Errorf("%v does not go to the pool in its turn", trf)
+		}
+		from[trf.From]++
+	}
+	if from["spare"] != 2 || from["haul"] != 4 {
+		t.Errorf("gave %v, want all of spare and 4 of haul for 10 VMs and the headroom", from)
+	}
+}
+
+func TestPoolKeepsWhatItNeeds(t *testing.T) {
+	for _, tst := range []struct {
+		name  string
+		pools []balance.Pool
+	}{
+		{"nobody wants more", []balance.Pool{pool("gate", 10000, 5, 1), pool("haul", 0, 9, 0)}},
+		{"VMs with lasting tasks stay", []balance.Pool{pool("gate", 900000, 0, 6), pool("haul", 0, 0, 9)}},
+		{"both are short", []balance.Pool{pool("gate", 900000, 1, 6), pool("haul", 900000, 1, 6)}},
+		{"the last VMs stay", []balance.Pool{pool("gate", 900000, 0, 6), pool("haul", 0, 2, 0)}},
+	} {
+		if got := balance.Decide(now, tst.pools); len(got) > 0 {
+			t.Errorf("%s: %v", tst.name, got)
+		}
+	}
+}
+
+func TestLateWorkGivesWay(t *testing.T) {
+	late := pool("haul", 0, 6, 0)
+	for i := range late.VMs {
+		late.VMs[i].Tasks = 6 - i
+	}
+	got := balance.Decide(now, []balance.Pool{pool("gate", 120000, 0, 7), late})
+	if len(got) != 2 || got[0].VM != "haul-5" || got[1].VM != "haul-4" {
+		t.Errorf("%v, want the two VMs that are empty soonest", got)
+	}
+}
+
+func TestVMRestsAfterMove(t *testing.T) {
+	haul := pool("haul", 0, 5, 0)
+	for i := range haul.VMs {
+		haul.VMs[i].Since = now.Add(-100 * time.Millisecond)
+	}
+	if got := balance.Decide(now, []balance.Pool{pool("gate", 900000, 0, 6), haul}); len(got) > 0 {
+		t.Errorf("VMs that have just come move on: %v", got)
+	}
+}
--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -51,7 +51,7 @@
 	VM   string // id of its present life
 	// MilliCores is its capacity in thousandths of a core.
 	MilliCores int64
-	IsUp bool
+	IsUp       bool
 	// IsOff tells that the machine does not run: it is down.
 	IsOff bool
 }
--- a/internal/job/plan/plan.go
+++ b/internal/job/plan/plan.go
@@ -101,6 +101,17 @@
 	return longest
 }
 
+// Work returns what one occurrence takes as declared, in thousandths of a core
+// for a second.
+func (pln *Plan) Work() int64 {
+	sum := 0.0
+	for i := range pln.Steps {
+		stp := &pln.Steps[i]
+		sum += float64(stp.Count) * float64(stp.Demand.MilliCores) * stp.Estimate.Seconds()
+	}
+	return int64(sum)
+}
+
 // IsID reports whether id has the form of a job's id: 16 hexadecimal digits.
 func IsID(id string) bool {
 	if len(id) != idDigits {
--- a/internal/schedule/cell/cell.go
+++ b/internal/schedule/cell/cell.go
@@ -10,6 +10,7 @@
 
 	"daisywheel/internal/fleet/agent"
 	"daisywheel/internal/fleet/queue"
+	"daisywheel/internal/fleet/turns"
 	"daisywheel/internal/job/plan"
 	"daisywheel/internal/job/task"
 	"daisywheel/internal/schedule/ledger"
@@ -63,8 +64,11 @@
 	dirty   map[string]bool
 	newVMs  map[string]bool // to be recorded
 	goneVMs map[string]bool // whose record is to be dropped
-	ended   []string        // ids of ended jobs, oldest first
-	settled bool            // no task of an earlier owner can run unknown
+	// confirmed is when this was last known to be the pool's owner.
+	confirmed time.Time
+	arrived   turns.Arrival // since the term began
+	ended     []string      // ids of ended jobs, oldest first
+	settled   bool          // no task of an earlier owner can run unknown
 }
 
 // New returns a Cell at the start of its owner's term.
@@ -112,6 +116,10 @@
 	ent := cel.newEntry(now, jb)
 	cel.jobs[jb.Plan.ID] = ent
 	cel.openDue(now, ent)
+	if !jb.Plan.IsLasting() {
+		cel.arrived.Jobs++
+		cel.arrived.Work += jb.Plan.Work()
+	}
 }
 
 func (cel *Cell) newEntry(now time.Time, jb ledger.Job) *entry {
--- a/internal/schedule/cell/pool.go
+++ b/internal/schedule/cell/pool.go
@@ -10,18 +10,20 @@
 
 // Pool returns what the balance of the fleet needs to know of the pool.
 func (cel *Cell) Pool(now time.Time) balance.Pool {
-	pol := balance.Pool{Name: cel.cfg.Name}
+	pol := balance.Pool{Name: cel.cfg.Name, Arrived: cel.arrived}
 	for _, mac := range cel.vms {
-		pol.Wanted += mac.used.MilliCores
 		vm := balance.VM{
 			ID: mac.host.ID, MilliCores: mac.host.Capacity.MilliCores, Tasks: len(mac.works) + len(mac.strays),
-			Since: mac.firstHeard, IsLeaving: mac.isLeaving,
+			Since: mac.firstHeard, IsLeaving: mac.isLeaving, IsSilent: mac.isSilent,
 			IsUsable: mac.isHeld && mac.isListed && !mac.host.IsDraining && now.Sub(mac.heardAt) <= staleAfter,
 		}
 		for _, wrk := range mac.works {
 			if wrk.step.step.IsLasting {
 				vm.Lasting++
 			}
+			if rank.BandOf(now, cel.claim(wrk.step)) < rank.Late {
+				pol.Wanted += counted(wrk.step.step).MilliCores
+			}
 		}
 		pol.VMs = append(pol.VMs, vm)
 	}
--- a/internal/schedule/cell/report.go
+++ b/internal/schedule/cell/report.go
@@ -108,11 +108,15 @@
 	wrk.phase, wrk.stopSent, wrk.stopAcked = stopping, time.Time{}, time.Time{}
 }
 
+// Confirm takes in that this was the pool's owner at a moment.
+func (cel *Cell) Confirm(at time.Time) { cel.confirmed = later(cel.confirmed, at) }
+
 // Lapse takes in the passage of time: leases that have run out, VMs that are
 // gone, occurrences that are due, and ended jobs that need not be kept.
 func (cel *Cell) Lapse(now time.Time) {
 	for id, mac := range cel.vms {
-		isSilent := now.After(mac.leaseEnd)
+		// Another owner may have renewed since this one was last confirmed.
+		isSilent := now.After(mac.leaseEnd) && cel.confirmed.After(mac.leaseEnd)
 		if isSilent && len(mac.works)+len(mac.strays) > 0 {
 			cel.cfg.Event(now, "vmLapsed", slog.String("vm", id), slog.Int("tasks", len(mac.works)),
 				slog.Duration("silent", now.Sub(mac.heardAt)))
--- a/internal/schedule/group/group.go
+++ b/internal/schedule/group/group.go
@@ -39,9 +39,8 @@
 	Partitions int
 	Archive    archive.Client
 	Journal    *journal.Journal
-	// Changed is told the partitions after each join. An empty list with isLapsed
-	// means that the membership has not been confirmed for too long.
-	Changed func(now time.Time, partitions []int)
+	// Changed is told the partitions after each join, and when it was sent.
+	Changed func(sent time.Time, partitions []int)
 }
 
 // Group is the membership of this entry.
@@ -82,6 +81,7 @@
 func (grp *Group) join() {
 	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
 	defer cancel()
+	sent := time.Now()
 	shr, err := grp.cfg.Archive.Join(ctx, grp.member())
 	now := time.Now()
 	if grp.isWell != (err == nil) {
@@ -96,7 +96,7 @@
 		grp.cfg.Journal.Event(now, "membershipChanged", slog.Int64("generation", shr.Generation), slog.Any("partitions", shr.Partitions))
 	}
 	grp.generation, grp.parts = shr.Generation, shr.Partitions
-	grp.cfg.Changed(now, shr.Partitions)
+	grp.cfg.Changed(sent, shr.Partitions)
 }
 
 func (grp *Group) logState(now time.Time, err error) {
--- /dev/null
+++ b/internal/schedule/ledger/ledger_test.go
@@ -0,0 +1,62 @@
+package ledger_test
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"daisywheel/internal/fleet/host"
+	"daisywheel/internal/job/plan"
+	"daisywheel/internal/schedule/ledger"
+)
+
+func TestRecordsSurvive(t *testing.T) {
+	at := time.UnixMilli(1700000000123)
+	jb := ledger.Job{Queue: "passes", Accepted: at, Plan: &plan.Plan{
+		ID: "00112233445566ff", Spec: "text", Times: 3, FirstAt: at, Interval: 5 * time.Second,
+		Steps: []plan.Step{
+			{Count: 2, Demand: plan.Demand{MilliCores: 500, MemoryMB: 100, GPUs: 1}, Estimate: time.Second, Image: "i", Label: "a", Rack: "r1", MaxPerVM: 1},
+			{Count: 1, After: []int{0}, Goal: 20 * time.Millisecond, MaxAway: 1, IsGang: true, IsOneRack: true, IsSaving: true, IsCopyable: true, IsLasting: true, IsBackground: true},
+		},
+	}}
+	data, err := ledger.EncodeJob(jb)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := ledger.DecodeJob(data)
+	if err != nil || !reflect.DeepEqual(got, jb) {
+		t.Errorf("job %+v (%v), want %+v", got.Plan, err, jb.Plan)
+	}
+	prg := ledger.Progress{
+		State: ledger.Running, Ended: time.UnixMilli(0), Done: []ledger.StepDone{{Step: 0, IsAll: true, Indexes: []int{}}, {Occurrence: 1, Step: 0, Indexes: []int{1}}},
+		Failures: []ledger.Failure{{Step: 1, Index: 0, Runs: []int{1, 1002}}},
+	}
+	if data, err = ledger.EncodeProgress(prg); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := ledger.DecodeProgress(data); err != nil || !reflect.DeepEqual(got, prg) {
+		t.Errorf("progress %+v (%v), want %+v", got, err, prg)
+	}
+	hst := host.Host{ID: "vm", Service: "gate", Address: "10.0.0.1:80", Zone: "z", Labels: []string{"a", "r1"}, Capacity: plan.Demand{MilliCores: 4}, Born: 5}
+	if data, err = ledger.EncodeHost(hst); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := ledger.DecodeHost("vm", "gate", data); err != nil || !reflect.DeepEqual(got, hst) {
+		t.Errorf("host %+v (%v), want %+v", got, err, hst)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"id":"00112233445566ff","queue":"q","steps":[{"n":1}]}`))
+	f.Add([]byte(`{"state":1,"done":[[0,1]],"failures":[[0,1,2,3]]}`))
+	f.Add([]byte(`{"state":9}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if jb, err := ledger.DecodeJob(data); err == nil && jb.Plan.Check() != nil {
+			t.Error("a job that is not usable was decoded")
+		}
+		if prg, err := ledger.DecodeProgress(data); err == nil && (prg.State < ledger.Queued || prg.State > ledger.Cancelled) {
+			t.Error("a state that does not exist was decoded")
+		}
+		_, _ = ledger.DecodeHost("vm", "gate", data)
+	})
+}
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -432,3 +432,23 @@
 	own.cel.SetLeaving(now, vms)
 	own.wake()
 }
+
+// Confirm takes in that this was the pool's owner at a moment.
+func (own *Owner) Confirm(at time.Time) {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	own.cel.Confirm(at)
+}
+
+// SetEnded takes in VMs whose life has ended, as the platform's list of machines
+// says.
+func (own *Owner) SetEnded(now time.Time, vms []string) {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	for _, id := range vms {
+		own.cel.Replaced(now, id)
+	}
+	if len(vms) > 0 {
+		own.wake()
+	}
+}
--- a/internal/schedule/owner/owner_test.go
+++ b/internal/schedule/owner/owner_test.go
@@ -30,6 +30,8 @@
 	service  = "gate"
 	leaseMax = 6 * time.Second
 	runTime  = 600 * time.Millisecond
+
+	lastingID = "00000000000000ff"
 )
 
 // bench is a pool of VMs with a log, without any process of the platform.
@@ -38,6 +40,8 @@
 	store *logstore.Store
 	fleet *vmfleet.Fleet
 	table *queue.Table
+	// unconfirmed is closed when owners get no confirmation any more.
+	unconfirmed chan struct{}
 }
 
 func newBench(t *testing.T, vms int, cfg logstore.Config) *bench {
@@ -53,11 +57,16 @@
 	flt := vmfleet.New(time.Now(), vmfleet.Config{
 		Latency: time.Millisecond,
 		Demand:  func(task.ID) plan.Demand { return plan.Demand{MilliCores: 1000, MemoryMB: 100} },
-		RunTime: func(task.ID) time.Duration { return runTime },
+		RunTime: func(tid task.ID) time.Duration {
+			if tid.Job == lastingID {
+				return time.Hour
+			}
+			return runTime
+		},
 	}, hosts)
 	tab := queue.NewTable(1, []queue.Queue{{Name: "passes", Service: service, MaxAttempts: 3, Factor: 1.6, Goal: time.Second}},
 		[]queue.Service{{Name: service}})
-	return &bench{t: t, store: logstore.New(cfg), fleet: flt, table: tab}
+	return &bench{t: t, store: logstore.New(cfg), fleet: flt, table: tab, unconfirmed: make(chan struct{})}
 }
 
 func (bch *bench) open() *owner.Owner {
@@ -76,9 +85,27 @@
 	}
 	bch.t.Cleanup(own.Close)
 	own.SetHosts(time.Now(), bch.fleet.Hosts())
+	bch.confirm(own)
 	return own
 }
 
+// confirm tells the owner every half second that it is the owner, until the test
+// ends or stops it.
+func (bch *bench) confirm(own *owner.Owner) {
+	go func() {
+		for {
+			select {
+			case <-own.Done():
+				return
+			case <-bch.unconfirmed:
+				return
+			case <-time.After(500 * time.Millisecond):
+				own.Confirm(time.Now())
+			}
+		}
+	}()
+}
+
 func job(num, width int) *plan.Plan {
 	dmd := plan.Demand{MilliCores: 1000, MemoryMB: 100}
 	return &plan.Plan{ID: fmt.Sprintf("%016x", num), Spec: "x", Steps: []plan.Step{
@@ -248,6 +275,42 @@
 	})
 }
 
+// An owner in a zone that is cut off sees a VM go silent, while a later owner
+// renews its leases. The first must not take the tasks for lapsed.
+func TestUnconfirmedOwnerTakesNoTaskForLapsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bch := newBench(t, 2, logstore.Config{})
+		var isCut atomic.Bool
+		one := bch.openWith(bch.store.Client(), cutFrom(bch.fleet.Agent(), "vm-0", &isCut))
+		time.Sleep(time.Second)
+		dmd := plan.Demand{MilliCores: 1000, MemoryMB: 100}
+		lasting := &plan.Plan{ID: lastingID, Steps: []plan.Step{{Count: 2, Demand: dmd, IsLasting: true}}}
+		if err := bch.submit(one, lasting); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(200 * time.Millisecond)
+		close(bch.unconfirmed)
+		isCut.Store(true)
+		time.Sleep(2500 * time.Millisecond) // until no look is on its way
+		bch.openWith(bch.store.Client(), cutFrom(bch.fleet.Agent(), "vm-1", &isCut))
+		time.Sleep(12 * time.Second)
+		bch.checkPromises()
+	})
+}
+
+// cutFrom keeps an owner from reaching a VM while isCut is set.
+func cutFrom(agt agent.Client, vm string, isCut *atomic.Bool) agent.Client {
+	through := agt.Hold
+	agt.Hold = func(ctx context.Context, tgt agent.Target, hld agent.Hold) (agent.Report, agent.Outcome, error) {
+		if isCut.Load() && tgt.VM == vm {
+			<-ctx.Done()
+			return agent.Report{}, agent.Unknown, ctx.Err()
+		}
+		return through(ctx, tgt, hld)
+	}
+	return agt
+}
+
 func TestStartCarriedOutLateRunsNowhereElse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		bch := newBench(t, 2, logstore.Config{})
--- /dev/null
+++ b/internal/schedule/pace/pace_test.go
@@ -0,0 +1,46 @@
+package pace_test
+
+import (
+	"testing"
+
+	"daisywheel/internal/schedule/pace"
+)
+
+func TestNext(t *testing.T) {
+	for _, tst := range []struct {
+		name     string
+		present  int
+		tail     float64
+		isShared bool
+		want     int
+	}{
+		{"alone on the VM", 20, 2, false, 100},
+		{"over the bound", 100, 1.1, true, 0},
+		{"near the bound", 100, 0.9, true, 50},
+		{"near the bound at the least pace", 15, 0.9, true, 0},
+		{"between the thresholds", 40, 0.7, true, 40},
+		{"well below the bound", 40, 0.3, true, 60},
+		{"well below the bound at full pace", 100, 0.3, true, 100},
+		{"of an earlier owner", -1, 0.3, true, 50},
+	} {
+		if got := pace.Next(tst.present, tst.tail, tst.isShared); got != tst.want {
+			t.Errorf("%s: %d, want %d", tst.name, got, tst.want)
+		}
+	}
+}
+
+// A load that steps down must not make the pace swing between stop and full.
+func TestHysteresisSettles(t *testing.T) {
+	present, changes := 100, 0
+	for i := range 60 {
+		tail := 0.55 + 0.004*float64(present) // background work adds 0.4 at full pace
+		next := pace.Next(present, tail, true)
+		if i >= 10 && next != present {
+			changes++
+		}
+		present = next
+	}
+	if changes > 0 || present == 0 {
+		t.Errorf("%d changes after the pace should have settled, at %d", changes, present)
+	}
+}
--- a/internal/schedule/service/fleet.go
+++ b/internal/schedule/service/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"daisywheel/internal/fleet/balance"
+	"daisywheel/internal/fleet/turns"
 	"daisywheel/internal/result/code"
 	"daisywheel/internal/result/fault"
 	"daisywheel/internal/schedule/claim"
@@ -81,12 +82,12 @@
 	}
 	svc.mu.Unlock()
 	for _, pol := range pools {
-		vms, err := svc.tellSteward(now, pol)
-		svc.takeLeaving(now, pol.Name, vms, err)
+		wsh, err := svc.tellSteward(now, pol)
+		svc.takeWishes(now, pol.Name, wsh, err)
 	}
 }
 
-func (svc *Service) takeLeaving(now time.Time, pool string, vms []string, err error) {
+func (svc *Service) takeWishes(now time.Time, pool string, wsh wishForm, err error) {
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
 	if err != nil {
@@ -95,22 +96,24 @@
 		}
 		svc.fleetAt = ""
 	}
-	lve := leave{vms: make(map[string]bool, len(vms)), at: now}
-	for _, vm := range vms {
+	lve := leave{vms: make(map[string]bool, len(wsh.Leaving)), at: now}
+	for _, vm := range wsh.Leaving {
 		lve.vms[vm] = true
 	}
 	svc.leaving[pool] = lve
 	if own := svc.owners[pool]; own != nil {
 		own.SetLeaving(now, lve.vms)
+		own.SetEnded(now, wsh.Ended)
 	}
 }
 
-func (svc *Service) tellSteward(now time.Time, pol balance.Pool) ([]string, error) {
+func (svc *Service) tellSteward(now time.Time, pol balance.Pool) (wishForm, error) {
 	svc.mu.Lock()
 	stw, address := svc.steward, svc.fleetAt
 	svc.mu.Unlock()
 	if stw != nil {
-		return stw.Report(now, pol), nil
+		leaving, ended := stw.Report(now, pol)
+		return wishForm{Leaving: leaving, Ended: ended}, nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
@@ -118,19 +121,19 @@
 	if address == "" {
 		address, err = claim.Find(ctx, svc.cfg.Archive, steward.Name)
 		if err != nil || address == "" {
-			return nil, fault.New(code.NotReady, "the fleet has no steward that is known here")
+			return wishForm{}, fault.New(code.NotReady, "the fleet has no steward that is known here")
 		}
 		svc.mu.Lock()
 		svc.fleetAt = address
 		svc.mu.Unlock()
 	}
-	var vms []string
-	if err = svc.link.Call(ctx, address, methodReport, formOf(now, pol), &vms); err != nil {
+	var wsh wishForm
+	if err = svc.link.Call(ctx, address, methodReport, formOf(now, pol), &wsh); err != nil {
 		svc.mu.Lock()
 		svc.fleetAt = ""
 		svc.mu.Unlock()
 	}
-	return vms, err
+	return wsh, err
 }
 
 func (svc *Service) serveReport(_ context.Context, params json.RawMessage) (any, error) {
@@ -145,13 +148,16 @@
 		return nil, fault.New(code.NotReady, "this entry is not the steward of the fleet")
 	}
 	now := time.Now()
-	return stw.Report(now, poolOf(now, frm)), nil
+	leaving, ended := stw.Report(now, poolOf(now, frm))
+	return wishForm{Leaving: leaving, Ended: ended}, nil
 }
 
 // poolForm is a report between entries. Times are ages, as clocks differ.
 type poolForm struct {
 	Name   string   `json:"name"`
 	Wanted int64    `json:"wantedMilliCores"`
+	Jobs   int64    `json:"arrivedJobs"`
+	Work   int64    `json:"arrivedMilliCoreSeconds"`
 	VMs    []vmForm `json:"vms"`
 }
 
@@ -163,25 +169,32 @@
 	AgeMs      int64  `json:"ageMs"`
 	IsUsable   bool   `json:"isUsable,omitempty"`
 	IsLeaving  bool   `json:"isLeaving,omitempty"`
+	IsSilent   bool   `json:"isSilent,omitempty"`
+}
+
+// wishForm is the steward's answer to a report.
+type wishForm struct {
+	Leaving []string `json:"leaving"`
+	Ended   []string `json:"ended"`
 }
 
 func formOf(now time.Time, pol balance.Pool) poolForm {
-	frm := poolForm{Name: pol.Name, Wanted: pol.Wanted, VMs: make([]vmForm, 0, len(pol.VMs))}
+	frm := poolForm{Name: pol.Name, Wanted: pol.Wanted, Jobs: pol.Arrived.Jobs, Work: pol.Arrived.Work, VMs: make([]vmForm, 0, len(pol.VMs))}
 	for _, vm := range pol.VMs {
 		frm.VMs = append(frm.VMs, vmForm{
 			ID: vm.ID, MilliCores: vm.MilliCores, Tasks: vm.Tasks, Lasting: vm.Lasting,
-			AgeMs: now.Sub(vm.Since).Milliseconds(), IsUsable: vm.IsUsable, IsLeaving: vm.IsLeaving,
+			AgeMs: now.Sub(vm.Since).Milliseconds(), IsUsable: vm.IsUsable, IsLeaving: vm.IsLeaving, IsSilent: vm.IsSilent,
 		})
 	}
 	return frm
 }
 
 func poolOf(now time.Time, frm poolForm) balance.Pool {
-	pol := balance.Pool{Name: frm.Name, Wanted: frm.Wanted}
+	pol := balance.Pool{Name: frm.Name, Wanted: frm.Wanted, Arrived: turns.Arrival{Jobs: frm.Jobs, Work: frm.Work}}
 	for _, vm := range frm.VMs {
 		pol.VMs = append(pol.VMs, balance.VM{
 			ID: vm.ID, MilliCores: vm.MilliCores, Tasks: vm.Tasks, Lasting: vm.Lasting,
-			Since: now.Add(-time.Duration(vm.AgeMs) * time.Millisecond), IsUsable: vm.IsUsable, IsLeaving: vm.IsLeaving,
+			Since: now.Add(-time.Duration(vm.AgeMs) * time.Millisecond), IsUsable: vm.IsUsable, IsLeaving: vm.IsLeaving, IsSilent: vm.IsSilent,
 		})
 	}
 	return pol
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -40,9 +41,10 @@
 	// wishRetry is the pause after a read that failed. A configuration has to be
 	// in force within 2 s of its acknowledgement.
 	wishRetry = 150 * time.Millisecond
-	// hostsEach is the pause between looks at the announcements of VMs. A VM that
-	// drains gets no more work within 2 s.
-	hostsEach    = 500 * time.Millisecond
+	// hostsEach is the pause between looks at the announcements of VMs: a small part
+	// of the 1.5 s that a move takes, and of the 2 s within which a VM that drains
+	// gets no more work.
+	hostsEach    = 250 * time.Millisecond
 	hostsTimeout = 900 * time.Millisecond
 	// startDelay lets the members that start together find each other before
 	// pools are claimed.
@@ -182,11 +184,16 @@
 	svc.link.Close()
 }
 
-// dealt takes in the partitions of this entry.
-func (svc *Service) dealt(now time.Time, parts []int) {
+// dealt takes in the partitions of this entry, as of when it asked for them.
+func (svc *Service) dealt(sent time.Time, parts []int) {
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
-	svc.parts, svc.joinedAt = parts, now
+	svc.parts, svc.joinedAt = parts, sent
+	for pool, own := range svc.owners {
+		if slices.Contains(parts, group.PartitionOf(pool, svc.cfg.Partitions)) {
+			own.Confirm(sent)
+		}
+	}
 }
 
 // followWishes reads the operator's records until quit is closed.
--- a/internal/schedule/steward/steward.go
+++ b/internal/schedule/steward/steward.go
@@ -16,6 +16,7 @@
 	"daisywheel/internal/fleet/balance"
 	"daisywheel/internal/fleet/directory"
 	"daisywheel/internal/fleet/queue"
+	"daisywheel/internal/fleet/turns"
 	"daisywheel/internal/fleet/upkeep"
 	"daisywheel/internal/kernel/part"
 	"daisywheel/internal/schedule/archive"
@@ -76,6 +77,8 @@
 	unsettled []archive.Record
 	mu        sync.Mutex
 	reports   map[string]report
+	turns     *turns.Turns
+	missing   map[string]int               // silent VMs that the latest lists do not show
 	machines  map[string]directory.Machine // by name
 	listedAt  time.Time
 	tasks     map[string]*errand // by machine
@@ -115,7 +118,7 @@
 		return nil, err
 	}
 	stw := &Steward{
-		cfg: cfg, clm: clm, since: now, reports: map[string]report{}, machines: map[string]directory.Machine{},
+		cfg: cfg, clm: clm, since: now, reports: map[string]report{}, turns: turns.New(), machines: map[string]directory.Machine{},
 		tasks: map[string]*errand{}, waves: map[int64]*wave{}, lost: make(chan struct{}),
 	}
 	if err := stw.append(ctx, nil); err != nil {
@@ -154,22 +157,57 @@
 	return err
 }
 
-// Report takes in how a pool stands and returns the VMs that it should empty.
-func (stw *Steward) Report(now time.Time, pol balance.Pool) []string {
+// Report takes in how a pool stands. It returns the VMs that the pool should
+// empty, and those whose life has ended.
+func (stw *Steward) Report(now time.Time, pol balance.Pool) (leaving, ended []string) {
 	stw.mu.Lock()
 	defer stw.mu.Unlock()
 	stw.reports[pol.Name] = report{pool: pol, at: now}
-	var leaving []string
+	stw.turns.Observe(now, pol.Name, pol.Arrived)
+	asked := make(map[string]bool, len(stw.tasks))
 	for _, ern := range stw.tasks {
-		for _, vm := range pol.VMs {
-			if vm.ID == ern.vm {
-				leaving = append(leaving, ern.vm)
+		asked[ern.vm] = true
+	}
+	for _, vm := range pol.VMs {
+		if asked[vm.ID] {
+			leaving = append(leaving, vm.ID)
+		}
+		if vm.IsSilent && stw.isEnded(vm.ID) {
+			ended = append(ended, vm.ID)
+			stw.cfg.Journal.Event(now, "vmEnded", slog.String("vm", vm.ID), slog.String("pool", pol.Name), slog.Int("tasks", vm.Tasks))
+		}
+	}
+	return leaving, ended
+}
+
+// isEnded reports whether the list of machines shows that the life is over: the
+// machine is off, or has another life. One list may be older than the VM.
+func (stw *Steward) isEnded(vm string) bool {
+	return stw.missing[vm] >= listsToEnd
+}
+
+// countMissing notes which reported VMs the list does not show as lives.
+func (stw *Steward) countMissing() {
+	alive := make(map[string]bool, len(stw.machines))
+	for _, mac := range stw.machines {
+		if !mac.IsOff {
+			alive[mac.VM] = true
+		}
+	}
+	missing := map[string]int{}
+	for _, rpt := range stw.reports {
+		for _, vm := range rpt.pool.VMs {
+			if vm.IsSilent && !alive[vm.ID] {
+				missing[vm.ID] = stw.missing[vm.ID] + 1
 			}
 		}
 	}
-	return leaving
+	stw.missing = missing
 }
 
+// listsToEnd is how many lists in a row must show that a life is over.
+const listsToEnd = 2
+
 // Request takes in a maintenance wave that the operator asks for.
 func (stw *Steward) Request(now time.Time, wav upkeep.Wave) {
 	stw.mu.Lock()
@@ -221,13 +259,15 @@
 	for _, mac := range all {
 		stw.machines[mac.Name] = mac
 	}
+	stw.countMissing()
 	stw.complete(now)
 }
 
 // listIdle is how often the machines are listed while nothing is going on.
 const listIdle = 3 * time.Second
 
-// isMissing reports whether a pool has a VM that the list does not show.
+// isMissing reports whether a pool has a VM that the list does not show, or one
+// that does not answer.
 func (stw *Steward) isMissing() bool {
 	known := make(map[string]bool, len(stw.machines))
 	for _, mac := range stw.machines {
@@ -235,7 +275,7 @@
 	}
 	for _, rpt := range stw.reports {
 		for _, vm := range rpt.pool.VMs {
-			if vm.IsUsable && !known[vm.ID] {
+			if vm.IsUsable && !known[vm.ID] || vm.IsSilent {
 				return true
 			}
 		}
@@ -297,7 +337,7 @@
 			standby[svc.Name] = &balance.Pool{Name: svc.Name, IsStandby: true}
 		}
 	}
-	incoming := stw.incoming()
+	incoming, foreseen := stw.incoming(), stw.turns.Forecast(now)
 	for name, mac := range stw.machines {
 		if mac.VM != "" {
 			names[mac.VM] = name
@@ -318,6 +358,7 @@
 		}
 		pol := rpt.pool
 		pol.Incoming = incoming[pol.Name]
+		pol.Wanted += foreseen[pol.Name]
 		pol.VMs = append([]balance.VM(nil), pol.VMs...)
 		for i := range pol.VMs {
 			mac, ok := stw.machines[names[pol.VMs[i].ID]]
@@ -331,7 +372,7 @@
 		mac := stw.machines[names[trf.VM]]
 		stw.tasks[mac.Name] = &errand{machine: mac.Name, vm: mac.VM, pool: trf.To, began: now, milli: mac.MilliCores}
 		stw.cfg.Journal.Event(now, "moveBegun", slog.String("machine", mac.Name), slog.String("vm", trf.VM),
-			slog.String("from", trf.From), slog.String("to", trf.To))
+			slog.String("from", trf.From), slog.String("to", trf.To), slog.Int64("foreseenMilliCores", foreseen[trf.To]))
 	}
 }
 
