Size pools by what arrives, and give late work only idle VMs

Change: the rate of arrivals is a lower bound of what a pool wants, late work gets VMs that are idle elsewhere, a VM rests 1 s after a move.

--- a/internal/fleet/balance/balance.go
+++ b/internal/fleet/balance/balance.go
@@ -20,8 +20,8 @@
 	// keepVMs stay in a pool, so that its next work starts at once.
 	keepVMs = 2
 	// restAfterMove is how long a VM stays in its new pool: the price of a move is
-	// that of about two seconds of a VM.
-	restAfterMove = 2 * time.Second
+	// that of about a second of a VM.
+	restAfterMove = time.Second
 	// perRound bounds the moves of one decision.
 	perRound = 16
 )
@@ -43,6 +43,7 @@
 	Name      string
 	IsStandby bool  // its VMs are off
 	Wanted    int64 // thousandths of a core that work which can end in time can use
+	Late      int64 // thousandths of a core that the work which cannot could use
 	Incoming  int64 // thousandths of a core that are on their way
 	Arrived   turns.Arrival
 	VMs       []VM
@@ -62,6 +63,7 @@
 	count  int
 }
 
+// deficit returns what the pool misses for work that can end in time.
 func (acc *account) deficit() int64 {
 	if acc.pool.IsStandby {
 		return 0
@@ -69,6 +71,14 @@
 	return int64(headroom*float64(acc.pool.Wanted)) - acc.supply
 }
 
+// lateDeficit returns what the pool misses for all its work.
+func (acc *account) lateDeficit() int64 {
+	if acc.pool.IsStandby {
+		return 0
+	}
+	return acc.deficit() + acc.pool.Late
+}
+
 // Decide returns the transfers that should begin now.
 func Decide(now time.Time, pools []Pool) []Transfer {
 	accounts := make([]*account, 0, len(pools))
@@ -82,10 +92,19 @@
 		}
 		accounts = append(accounts, acc)
 	}
-	var transfers []Transfer
+	transfers := serve(now, accounts, nil, (*account).deficit, false)
+	return serve(now, accounts, transfers, (*account).lateDeficit, true)
+}
+
+// serve gives VMs to the pools that miss most. Late work gets only VMs that are
+// idle, and none from the spare pool.
+func serve(now time.Time, accounts []*account, transfers []Transfer, missing func(*account) int64, isLate bool) []Transfer {
 	for len(transfers) < perRound {
-		taker := slices.MaxFunc(accounts, func(one, two *account) int { return cmp.Compare(one.deficit(), two.deficit()) })
-		trf, ok := pick(now, accounts, taker)
+		taker := slices.MaxFunc(accounts, func(one, two *account) int { return cmp.Compare(missing(one), missing(two)) })
+		if missing(taker) <= 0 {
+			break
+		}
+		trf, ok := pick(now, accounts, taker, isLate)
 		if !ok {
 			break
 		}
@@ -94,19 +113,16 @@
 	return transfers
 }
 
-// pick takes an idle VM for the pool from the one that misses it least.
-func pick(now time.Time, accounts []*account, taker *account) (Transfer, bool) {
-	if taker.deficit() <= 0 {
-		return Transfer{}, false
-	}
+// pick takes a VM for the pool from the one that misses it least.
+func pick(now time.Time, accounts []*account, taker *account, isLate bool) (Transfer, bool) {
 	var best *account
 	bestAt := -1
 	for _, acc := range accounts {
-		at := acc.idle(now)
-		if acc == taker || at < 0 {
+		if acc == taker || isLate && (acc.pool.IsStandby || acc.lateDeficit() > 0) {
 			continue
 		}
-		if best == nil || acc.isBetter(best) {
+		at := acc.spare(now, isLate)
+		if at >= 0 && (best == nil || acc.isBetter(best)) {
 			best, bestAt = acc, at
 		}
 	}
@@ -130,14 +146,14 @@
 	return acc.deficit() < other.deficit()
 }
 
-// idle returns the VM with the fewest tasks that the pool can give, or -1.
-func (acc *account) idle(now time.Time) int {
+// spare returns the VM with the fewest tasks that the pool can give, or -1.
+func (acc *account) spare(now time.Time, isIdle bool) int {
 	if !acc.pool.IsStandby && acc.count <= keepVMs {
 		return -1
 	}
 	best := -1
 	for i, vm := range acc.pool.VMs {
-		isFree := vm.IsUsable && !vm.IsLeaving && vm.Lasting == 0 && now.Sub(vm.Since) >= restAfterMove
+		isFree := vm.IsUsable && !vm.IsLeaving && vm.Lasting == 0 && (!isIdle || vm.Tasks == 0) && now.Sub(vm.Since) >= restAfterMove
 		isSpare := acc.pool.IsStandby || -acc.deficit() >= vm.MilliCores
 		if isFree && isSpare && (best < 0 || vm.Tasks < acc.pool.VMs[best].Tasks) {
 			best = i
--- a/internal/fleet/balance/balance_test.go
+++ b/internal/fleet/balance/balance_test.go
@@ -65,6 +65,22 @@
 	}
 }
 
+func TestLateWorkGetsIdleVMsOnly(t *testing.T) {
+	haul := pool("haul", 0, 5, 0)
+	haul.VMs[0].Tasks = 1
+	gate := pool("gate", 16000, 0, 6)
+	gate.Late = 400000
+	got := balance.Decide(now, []balance.Pool{gate, haul})
+	if len(got) != 3 {
+		t.Errorf("%v, want the idle VMs of haul but the two that it keeps", got)
+	}
+	for _, trf := range got {
+		if trf.VM == "haul-0" {
+			t.Error("a busy VM is emptied for late work")
+		}
+	}
+}
+
 func TestVMRestsAfterMove(t *testing.T) {
 	haul := pool("haul", 0, 5, 0)
 	for i := range haul.VMs {
--- a/internal/fleet/turns/turns.go
+++ b/internal/fleet/turns/turns.go
@@ -110,6 +110,20 @@
 	return int64(float64(work) / over.Seconds())
 }
 
+// Rate returns what arrives at the pool, in thousandths of a core: what its work
+// takes while arrivals go on as in the last second.
+func (trn *Turns) Rate(pool string) int64 {
+	trk, ok := trn.pools[pool]
+	if !ok {
+		return 0
+	}
+	work := int64(0)
+	for _, arr := range trk.recent {
+		work += arr.Work
+	}
+	return rate(work, slots*slot)
+}
+
 // Interval returns the time between the turns of successive pools; ok is false
 // while it is not known or not even.
 func (trn *Turns) Interval() (interval time.Duration, ok bool) {
--- a/internal/schedule/cell/pool.go
+++ b/internal/schedule/cell/pool.go
@@ -21,20 +21,25 @@
 			if wrk.step.step.IsLasting {
 				vm.Lasting++
 			}
-			if rank.BandOf(now, cel.claim(wrk.step)) < rank.Late {
-				pol.Wanted += counted(wrk.step.step).MilliCores
-			}
+			cel.addWanted(now, &pol, wrk.step, 1)
 		}
 		pol.VMs = append(pol.VMs, vm)
 	}
 	for stg := range cel.open {
-		if stg.waitCount > 0 && rank.BandOf(now, cel.claim(stg)) < rank.Late {
-			pol.Wanted += int64(stg.waitCount) * counted(stg.step).MilliCores
-		}
+		cel.addWanted(now, &pol, stg, stg.waitCount)
 	}
 	return pol
 }
 
+func (cel *Cell) addWanted(now time.Time, pol *balance.Pool, stg *stage, tasks int) {
+	need := int64(tasks) * counted(stg.step).MilliCores
+	if rank.BandOf(now, cel.claim(stg)) < rank.Late {
+		pol.Wanted += need
+		return
+	}
+	pol.Late += need
+}
+
 // SetLeaving says which VMs are to be emptied. No new work goes there; lasting
 // tasks are moved one at a time.
 func (cel *Cell) SetLeaving(now time.Time, leaving map[string]bool) {
--- a/internal/schedule/steward/steward.go
+++ b/internal/schedule/steward/steward.go
@@ -69,10 +69,11 @@
 
 // Steward is the fleet's steward for one term. It is safe for concurrent use.
 type Steward struct {
-	cfg   Config
-	clm   claim.Claim
-	since time.Time
-	seq   int64
+	cfg      Config
+	clm      claim.Claim
+	loggedAt time.Time
+	since    time.Time
+	seq      int64
 	// unsettled are records of an append without an answer.
 	unsettled []archive.Record
 	mu        sync.Mutex
@@ -358,7 +359,7 @@
 		}
 		pol := rpt.pool
 		pol.Incoming = incoming[pol.Name]
-		pol.Wanted += foreseen[pol.Name]
+		pol.Wanted = max(pol.Wanted, stw.turns.Rate(pol.Name)) + foreseen[pol.Name]
 		pol.VMs = append([]balance.VM(nil), pol.VMs...)
 		for i := range pol.VMs {
 			mac, ok := stw.machines[names[pol.VMs[i].ID]]
@@ -368,6 +369,7 @@
 		}
 		pools = append(pools, pol)
 	}
+	stw.logPools(now, pools, foreseen)
 	for _, trf := range balance.Decide(now, pools) {
 		mac := stw.machines[names[trf.VM]]
 		stw.tasks[mac.Name] = &errand{machine: mac.Name, vm: mac.VM, pool: trf.To, began: now, milli: mac.MilliCores}
@@ -376,6 +378,29 @@
 	}
 }
 
+// logPools writes how the pools stand, each second.
+func (stw *Steward) logPools(now time.Time, pools []balance.Pool, foreseen map[string]int64) {
+	if now.Sub(stw.loggedAt) < logEach {
+		return
+	}
+	stw.loggedAt = now
+	for _, pol := range pools {
+		usable, tasks := 0, 0
+		for _, vm := range pol.VMs {
+			if vm.IsUsable && !vm.IsLeaving {
+				usable++
+			}
+			tasks += vm.Tasks
+		}
+		stw.cfg.Journal.Event(now, "poolState", slog.String("pool", pol.Name), slog.Int("vms", len(pol.VMs)),
+			slog.Int("usable", usable), slog.Int("tasks", tasks), slog.Int64("wantedMilliCores", pol.Wanted),
+			slog.Int64("foreseenMilliCores", foreseen[pol.Name]), slog.Int64("incomingMilliCores", pol.Incoming))
+	}
+}
+
+// logEach is the pause between two lines on a pool.
+const logEach = time.Second
+
 // incoming returns what is on its way to each pool, in thousandths of a core.
 func (stw *Steward) incoming() map[string]int64 {
 	sums := map[string]int64{}
