Keep a pool with its live owner when partitions are dealt anew

Change: the holder of a partition asks the owner by its claim and claims only if that is not alive; owners look each second whether their claim is still the newest.

--- a/internal/schedule/claim/claim.go
+++ b/internal/schedule/claim/claim.go
@@ -104,3 +104,14 @@
 	}
 	return frm.Address, nil
 }
+
+// Holds reports whether the claim with the token is still the newest of the name.
+func Holds(ctx context.Context, arc archive.Client, name string, fence int64) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout/2)
+	defer cancel()
+	rec, ok, err := arc.Lookup(ctx, topic, 0, name)
+	if err != nil {
+		return false, err
+	}
+	return ok && rec.Offset+1 == fence, nil
+}
--- a/internal/schedule/owner/duties.go
+++ b/internal/schedule/owner/duties.go
@@ -9,6 +9,7 @@
 
 	"daisywheel/internal/fleet/agent"
 	"daisywheel/internal/schedule/cell"
+	"daisywheel/internal/schedule/claim"
 )
 
 const (
@@ -21,6 +22,9 @@
 	holdPause = 40 * time.Millisecond
 	// holdRetry is the pause after a look that failed.
 	holdRetry = 250 * time.Millisecond
+	// confirmEach is the pause between looks at the claims. A silent VM's tasks wait
+	// for the next one after their lease, so it is a small part of that.
+	confirmEach = time.Second
 	// holdSlack is added to the wait before a look counts as unanswered.
 	holdSlack = time.Second
 )
@@ -109,6 +113,24 @@
 	}
 }
 
+// confirmLoop looks whether another owner has claimed the pool.
+func (own *Owner) confirmLoop() {
+	for pause(own.quit, confirmEach) {
+		sent := time.Now()
+		holds, err := claim.Holds(context.Background(), own.cfg.Archive, own.cfg.Service, own.fence)
+		switch {
+		case err != nil:
+			continue // storeLoop and the membership log that the store is away
+		case !holds:
+			own.setLost(time.Now(), "a later owner has claimed the pool")
+			return
+		}
+		own.mu.Lock()
+		own.cel.Confirm(sent)
+		own.mu.Unlock()
+	}
+}
+
 // holdLoop renews the leases on a VM and takes in what it reports, until the
 // cell forgets the VM.
 func (own *Owner) holdLoop(id string) {
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -108,6 +108,7 @@
 	own.group.Go(own.planLoop)
 	own.group.Go(own.storeLoop)
 	own.group.Go(own.tickLoop)
+	own.group.Go(own.confirmLoop)
 	go func() {
 		own.group.Wait()
 		close(own.done)
@@ -433,13 +434,6 @@
 	own.wake()
 }
 
-// Confirm takes in that this was the pool's owner at a moment.
-func (own *Owner) Confirm(at time.Time) {
-	own.mu.Lock()
-	defer own.mu.Unlock()
-	own.cel.Confirm(at)
-}
-
 // SetEnded takes in VMs whose life has ended, as the platform's list of machines
 // says.
 func (own *Owner) SetEnded(now time.Time, vms []string) {
--- a/internal/schedule/owner/owner_test.go
+++ b/internal/schedule/owner/owner_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 
 	"daisywheel/internal/event/journal"
 	"daisywheel/internal/fleet/agent"
@@ -40,8 +41,6 @@
 	store *logstore.Store
 	fleet *vmfleet.Fleet
 	table *queue.Table
-	// unconfirmed is closed when owners get no confirmation any more.
-	unconfirmed chan struct{}
 }
 
 func newBench(t *testing.T, vms int, cfg logstore.Config) *bench {
@@ -66,7 +65,7 @@
 	}, hosts)
 	tab := queue.NewTable(1, []queue.Queue{{Name: "passes", Service: service, MaxAttempts: 3, Factor: 1.6, Goal: time.Second}},
 		[]queue.Service{{Name: service}})
-	return &bench{t: t, store: logstore.New(cfg), fleet: flt, table: tab, unconfirmed: make(chan struct{})}
+	return &bench{t: t, store: logstore.New(cfg), fleet: flt, table: tab}
 }
 
 func (bch *bench) open() *owner.Owner {
@@ -85,27 +84,9 @@
 	}
 	bch.t.Cleanup(own.Close)
 	own.SetHosts(time.Now(), bch.fleet.Hosts())
-	bch.confirm(own)
 	return own
 }
 
-// confirm tells the owner every half second that it is the owner, until the test
-// ends or stops it.
-func (bch *bench) confirm(own *owner.Owner) {
-	go func() {
-		for {
-			select {
-			case <-own.Done():
-				return
-			case <-bch.unconfirmed:
-				return
-			case <-time.After(500 * time.Millisecond):
-				own.Confirm(time.Now())
-			}
-		}
-	}()
-}
-
 func job(num, width int) *plan.Plan {
 	dmd := plan.Demand{MilliCores: 1000, MemoryMB: 100}
 	return &plan.Plan{ID: fmt.Sprintf("%016x", num), Spec: "x", Steps: []plan.Step{
@@ -281,7 +262,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		bch := newBench(t, 2, logstore.Config{})
 		var isCut atomic.Bool
-		one := bch.openWith(bch.store.Client(), cutFrom(bch.fleet.Agent(), "vm-0", &isCut))
+		arc := bch.store.Client()
+		lookup := arc.Lookup
+		arc.Lookup = func(ctx context.Context, topic string, part int, key string) (archive.Record, bool, error) {
+			if isCut.Load() {
+				return archive.Record{}, false, errors.New("cut off")
+			}
+			return lookup(ctx, topic, part, key)
+		}
+		one := bch.openWith(arc, cutFrom(bch.fleet.Agent(), "vm-0", &isCut))
 		time.Sleep(time.Second)
 		dmd := plan.Demand{MilliCores: 1000, MemoryMB: 100}
 		lasting := &plan.Plan{ID: lastingID, Steps: []plan.Step{{Count: 2, Demand: dmd, IsLasting: true}}}
@@ -289,7 +278,6 @@
 			t.Fatal(err)
 		}
 		time.Sleep(200 * time.Millisecond)
-		close(bch.unconfirmed)
 		isCut.Store(true)
 		time.Sleep(2500 * time.Millisecond) // until no look is on its way
 		bch.openWith(bch.store.Client(), cutFrom(bch.fleet.Agent(), "vm-1", &isCut))
--- a/internal/schedule/service/fleet.go
+++ b/internal/schedule/service/fleet.go
@@ -10,6 +10,7 @@
 	"daisywheel/internal/fleet/turns"
 	"daisywheel/internal/result/code"
 	"daisywheel/internal/result/fault"
+	"daisywheel/internal/schedule/cell"
 	"daisywheel/internal/schedule/claim"
 	"daisywheel/internal/schedule/group"
 	"daisywheel/internal/schedule/steward"
@@ -34,7 +35,7 @@
 // reconcileSteward opens or closes the steward. The caller holds the lock.
 func (svc *Service) reconcileSteward(now time.Time, dealt map[int]bool) {
 	part := group.PartitionOf(steward.Name, svc.cfg.Partitions)
-	if svc.steward != nil && (!dealt[part] || isClosed(svc.steward.Lost())) {
+	if svc.steward != nil && (now.Sub(svc.joinedAt) >= cell.OwnerReach || isClosed(svc.steward.Lost())) {
 		go svc.steward.Close()
 		svc.steward, svc.failedAt[steward.Name] = nil, now
 	}
@@ -49,6 +50,10 @@
 func (svc *Service) openSteward(part int) {
 	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
 	defer cancel()
+	if svc.isOwned(ctx, steward.Name) {
+		svc.passOver(steward.Name)
+		return
+	}
 	stw, err := steward.Open(ctx, time.Now(), steward.Config{
 		Holder: svc.cfg.Name, Address: svc.cfg.PeerAddress, Partition: part, OrderLease: svc.cfg.OrderLease,
 		Archive: svc.cfg.Archive, Directory: svc.cfg.Directory, Journal: svc.cfg.Journal, Table: svc.Table,
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -105,6 +104,7 @@
 		waves: map[int64]upkeep.Wave{}, leaving: map[string]leave{},
 	}
 	svc.link.Handle(methodReport, svc.serveReport)
+	svc.link.Handle(methodAlive, svc.serveAlive)
 	svc.gateway = gateway.New(gateway.Config{
 		Address: cfg.PeerAddress, Partitions: cfg.Partitions, Link: svc.link, Archive: cfg.Archive,
 		Journal: cfg.Journal, Local: svc.Owner,
@@ -189,11 +189,6 @@
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
 	svc.parts, svc.joinedAt = parts, sent
-	for pool, own := range svc.owners {
-		if slices.Contains(parts, group.PartitionOf(pool, svc.cfg.Partitions)) {
-			own.Confirm(sent)
-		}
-	}
 }
 
 // followWishes reads the operator's records until quit is closed.
@@ -338,7 +333,9 @@
 	}
 }
 
-// reconcile opens the pools that are dealt to this entry and closes the others.
+// reconcile opens the pools that are dealt to this entry and have no live owner,
+// and closes those that are lost. Dealing anew alone moves no pool: each change of
+// owner costs its callers a second or two.
 func (svc *Service) reconcile(now time.Time) {
 	tab := svc.table.Load()
 	if tab == nil || now.Sub(svc.started) < startDelay {
@@ -346,14 +343,13 @@
 	}
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
+	isStale := now.Sub(svc.joinedAt) >= cell.OwnerReach
 	dealt := map[int]bool{}
-	if now.Sub(svc.joinedAt) < cell.OwnerReach {
-		for _, num := range svc.parts {
-			dealt[num] = true
-		}
+	for _, num := range svc.parts {
+		dealt[num] = !isStale
 	}
 	for pool, own := range svc.owners {
-		if !dealt[group.PartitionOf(pool, svc.cfg.Partitions)] || isClosed(own.Lost()) {
+		if isStale || isClosed(own.Lost()) {
 			delete(svc.owners, pool)
 			svc.failedAt[pool] = now
 			go own.Close()
@@ -383,6 +379,10 @@
 func (svc *Service) open(pool string, part int, tab *queue.Table) {
 	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
 	defer cancel()
+	if svc.isOwned(ctx, pool) {
+		svc.passOver(pool)
+		return
+	}
 	own, err := owner.Open(ctx, time.Now(), owner.Config{
 		Service: pool, Partition: part, Address: svc.cfg.PeerAddress, LeaseMax: min(svc.cfg.LeaseMax, leaseLength),
 		StatusKept: svc.cfg.StatusKept, Archive: svc.cfg.Archive, Agent: svc.cfg.Agent, Journal: svc.cfg.Journal,
