--- a/internal/fleet/balance/balance.go
+++ b/internal/fleet/balance/balance.go
@@ -81,6 +81,9 @@
 
 // Decide returns the transfers that should begin now.
 func Decide(now time.Time, pools []Pool) []Transfer {
+	if len(pools) == 0 {
+		return nil
+	}
 	accounts := make([]*account, 0, len(pools))
 	for i := range pools {
 		acc := &account{pool: &pools[i], supply: pools[i].Incoming}
--- a/internal/fleet/balance/balance_test.go
+++ b/internal/fleet/balance/balance_test.go
@@ -43,6 +43,7 @@
 		name  string
 		pools []balance.Pool
 	}{
+		{"no pool has reported", nil},
 		{"nobody wants more", []balance.Pool{pool("gate", 10000, 5, 1), pool("haul", 0, 9, 0)}},
 		{"VMs with lasting tasks stay", []balance.Pool{pool("gate", 900000, 0, 6), pool("haul", 0, 0, 9)}},
 		{"both are short", []balance.Pool{pool("gate", 900000, 1, 6), pool("haul", 900000, 1, 6)}},
--- /dev/null
+++ b/internal/schedule/service/service_test.go
@@ -0,0 +1,217 @@
+package service_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"daisywheel/internal/event/journal"
+	"daisywheel/internal/fleet/directory"
+	"daisywheel/internal/fleet/host"
+	"daisywheel/internal/fleet/queue"
+	"daisywheel/internal/job/plan"
+	"daisywheel/internal/job/task"
+	"daisywheel/internal/schedule/ledger"
+	"daisywheel/internal/schedule/service"
+	"daisywheel/internal/standin/logstore"
+	"daisywheel/internal/standin/vmfleet"
+)
+
+const (
+	pool     = "gate"
+	patience = 30 * time.Second // of a test; nothing is measured by it
+)
+
+var passes = queue.Queue{Name: "passes", Host: "h", Prefix: "/p/", Service: pool, MaxAttempts: 3, Factor: 1.6, Goal: time.Second}
+
+func demand(task.ID) plan.Demand { return plan.Demand{MilliCores: 1000, MemoryMB: 100} }
+
+// site is a number of entries before a pool of VMs.
+type site struct {
+	t       *testing.T
+	fleet   *vmfleet.Fleet
+	entries []*service.Service
+}
+
+func startSite(t *testing.T, entries int) *site {
+	t.Helper()
+	var hosts []host.Host
+	for i := range 3 {
+		hosts = append(hosts, host.Host{
+			ID: fmt.Sprintf("vm-%d", i), Service: pool, Address: fmt.Sprintf("10.0.0.%d:80", i), Born: time.Now().UnixMilli(),
+			Capacity: plan.Demand{MilliCores: 4000, MemoryMB: 8000},
+		})
+	}
+	ste := &site{t: t, fleet: vmfleet.New(time.Now(), vmfleet.Config{
+		Demand: demand, RunTime: func(task.ID) time.Duration { return 50 * time.Millisecond },
+	}, hosts)}
+	store := logstore.New(logstore.Config{})
+	for i := range entries {
+		ste.entries = append(ste.entries, ste.startEntry(fmt.Sprintf("entry-%d", i), store))
+	}
+	return ste
+}
+
+func (ste *site) startEntry(name string, store *logstore.Store) *service.Service {
+	ste.t.Helper()
+	lsn, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		ste.t.Fatal(err)
+	}
+	address := lsn.Addr().String()
+	if err := lsn.Close(); err != nil {
+		ste.t.Fatal(err)
+	}
+	svc, err := service.Start(time.Now(), service.Config{
+		Name: name, Zone: "z", PeerAddress: address, Partitions: 16, LeaseMax: 6 * time.Second, StatusKept: time.Minute,
+		Archive: store.Client(), Directory: ste.directory(), Agent: ste.fleet.Agent(),
+		Journal: journal.New(journal.Config{}), Metrics: metrics.NewSet(),
+	})
+	if err != nil {
+		ste.t.Fatal(err)
+	}
+	return svc
+}
+
+func (ste *site) directory() directory.Client {
+	tab := queue.NewTable(1, []queue.Queue{passes}, []queue.Service{{Name: pool}})
+	return directory.Client{
+		Hosts: func(context.Context, int64) (directory.Hosts, error) {
+			page := directory.Hosts{IsWhole: true}
+			for _, hst := range ste.fleet.Hosts() {
+				page.Changes = append(page.Changes, directory.HostChange{ID: hst.ID, Host: hst})
+			}
+			return page, nil
+		},
+		Wishes: func(ctx context.Context, cursor int64, wait time.Duration) (directory.Wishes, error) {
+			if cursor == directory.Start {
+				return directory.Wishes{Wishes: []directory.Wish{{Table: tab}}, Next: 1}, nil
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(wait):
+			}
+			return directory.Wishes{Next: cursor}, ctx.Err()
+		},
+		ReportWave: func(context.Context, int64, bool) error { return nil },
+		Machines:   func(context.Context) ([]directory.Machine, error) { return nil, nil },
+	}
+}
+
+// submit hands the job in until it is accepted, as callers do.
+func (ste *site) submit(through *service.Service, pln *plan.Plan) {
+	ste.t.Helper()
+	for limit := time.Now().Add(patience); ; {
+		ctx, cancel := context.WithTimeout(ste.t.Context(), 3*time.Second)
+		err := through.Gateway().Submit(ctx, time.Now(), passes, pln)
+		cancel()
+		if err == nil {
+			return
+		}
+		if time.Now().After(limit) {
+			ste.t.Fatalf("job %s is not accepted: %v", pln.ID, err)
+		}
+	}
+}
+
+func (ste *site) await(through *service.Service, id string) {
+	ste.t.Helper()
+	for limit := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
+		ctx, cancel := context.WithTimeout(ste.t.Context(), 3*time.Second)
+		ste1, found, err := through.Gateway().State(ctx, passes, id)
+		cancel()
+		if err == nil && !found {
+			ste.t.Fatalf("job %s is not known", id)
+		}
+		if err == nil && ste1 == ledger.Completed {
+			return
+		}
+		if time.Now().After(limit) {
+			ste.t.Fatalf("job %s is %s (%v)", id, ste1, err)
+		}
+	}
+}
+
+func (ste *site) checkPromises() {
+	ste.t.Helper()
+	for _, line := range ste.fleet.Broken() {
+		ste.t.Error(line)
+	}
+}
+
+func job(num int) *plan.Plan {
+	return &plan.Plan{ID: fmt.Sprintf("%016x", num), Spec: "x", Steps: []plan.Step{{Count: 3, Demand: demand(task.ID{}), Estimate: 50 * time.Millisecond}}}
+}
+
+func TestSameJobThroughTwoEntriesIsOne(t *testing.T) {
+	ste := startSite(t, 2)
+	done := make(chan struct{})
+	for _, svc := range ste.entries {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			ste.submit(svc, job(1))
+		}()
+	}
+	<-done
+	<-done
+	for _, svc := range ste.entries {
+		ste.await(svc, job(1).ID)
+	}
+	if got := ste.fleet.Starts(); got != 3 {
+		t.Errorf("%d starts, want 3", got)
+	}
+	for _, svc := range ste.entries {
+		svc.SetStopping()
+		svc.Resign()
+		svc.Stop()
+	}
+	ste.checkPromises()
+}
+
+func TestAnotherEntryTakesOverFromOneThatStops(t *testing.T) {
+	ste := startSite(t, 2)
+	for num := range 4 {
+		ste.submit(ste.entries[num%2], job(num))
+	}
+	first, second := ste.entries[0], ste.entries[1]
+	if first.Owner(pool) == nil {
+		first, second = second, first
+	}
+	first.SetStopping()
+	first.Resign()
+	for num := 4; num < 8; num++ {
+		ste.submit(first, job(num)) // still answers, through the new owner
+	}
+	for num := range 8 {
+		ste.await(second, job(num).ID)
+	}
+	first.Stop()
+	second.SetStopping()
+	second.Resign()
+	second.Stop()
+	ste.checkPromises()
+}
+
+func TestUnknownJobIsUnknownEverywhere(t *testing.T) {
+	ste := startSite(t, 2)
+	ste.submit(ste.entries[0], job(1))
+	for _, svc := range ste.entries {
+		_, found, err := svc.Gateway().State(t.Context(), passes, job(2).ID)
+		if found || err != nil {
+			t.Errorf("state of an unknown job: %v %v", found, err)
+		}
+		found, err = svc.Gateway().Cancel(t.Context(), time.Now(), passes, job(2).ID)
+		if found || err != nil {
+			t.Errorf("cancel of an unknown job: %v %v", found, err)
+		}
+		svc.SetStopping()
+	}
+	for _, svc := range ste.entries {
+		svc.Resign()
+		svc.Stop()
+	}
+}
