Lose less time to lost answers and late orders; let ended lives stay ended

Change: looks at busy VMs wait 0.6 s, orders 0.5 s, appends 0.2 s and twice as long each time; ended lives are remembered while they are announced. Tests of the cell.

--- a/internal/schedule/cell/cell.go
+++ b/internal/schedule/cell/cell.go
@@ -62,8 +62,9 @@
 	open    map[*stage]bool
 	models  map[string]*runtime.Model // by queue
 	dirty   map[string]bool
-	newVMs  map[string]bool // to be recorded
-	goneVMs map[string]bool // whose record is to be dropped
+	newVMs  map[string]bool  // to be recorded
+	goneVMs map[string]bool  // whose record is to be dropped
+	over    map[string]int64 // lives that have ended and may still be listed, with their start
 	// confirmed is when this was last known to be the pool's owner.
 	confirmed time.Time
 	arrived   turns.Arrival // since the term began
@@ -75,7 +76,7 @@
 func New(cfg Config) *Cell {
 	return &Cell{
 		cfg: cfg, vms: map[string]*machine{}, jobs: map[string]*entry{}, open: map[*stage]bool{}, models: map[string]*runtime.Model{}, dirty: map[string]bool{},
-		newVMs: map[string]bool{}, goneVMs: map[string]bool{},
+		newVMs: map[string]bool{}, goneVMs: map[string]bool{}, over: map[string]int64{},
 		settled: cfg.IsFirst,
 	}
 }
--- /dev/null
+++ b/internal/schedule/cell/cell_test.go
@@ -0,0 +1,217 @@
+package cell_test
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"daisywheel/internal/fleet/agent"
+	"daisywheel/internal/fleet/host"
+	"daisywheel/internal/fleet/queue"
+	"daisywheel/internal/job/plan"
+	"daisywheel/internal/job/task"
+	"daisywheel/internal/schedule/cell"
+	"daisywheel/internal/schedule/ledger"
+)
+
+var start = time.Unix(1000, 0)
+
+const jobID = "00112233445566ff"
+
+func newCell(isFirst bool) (*cell.Cell, map[string]int) {
+	events := map[string]int{}
+	cel := cell.New(cell.Config{
+		Name: "gate", Fence: 5, LeaseMax: 5 * time.Second, StatusKept: time.Minute, IsFirst: isFirst,
+		Event: func(_ time.Time, kind string, _ ...slog.Attr) { events[kind]++ },
+	})
+	cel.SetTable(queue.NewTable(1, []queue.Queue{{Name: "q", Service: "gate", MaxAttempts: 2, Factor: 1.5}}, nil))
+	return cel, events
+}
+
+func vm(id string, born int64) host.Host {
+	return host.Host{ID: id, Service: "gate", Address: id, Born: born, Capacity: plan.Demand{MilliCores: 4000, MemoryMB: 4000}}
+}
+
+// settle lets the VMs be stored and answer.
+func settle(now time.Time, cel *cell.Cell, hosts ...host.Host) {
+	cel.SetHosts(now, hosts)
+	cel.Recorded(cel.TakeBatch())
+	for _, hst := range hosts {
+		cel.Report(now, now, hst.ID, agent.Report{Born: hst.Born})
+	}
+}
+
+func accept(now time.Time, cel *cell.Cell, steps ...plan.Step) {
+	cel.Accept(now, ledger.Job{Queue: "q", Accepted: now, Plan: &plan.Plan{ID: jobID, Steps: steps}})
+}
+
+func step(count int, cores int64) plan.Step {
+	return plan.Step{Count: count, Demand: plan.Demand{MilliCores: cores, MemoryMB: 1}, Estimate: time.Second}
+}
+
+func starts(orders []cell.Order) []cell.Order {
+	var list []cell.Order
+	for _, ord := range orders {
+		if ord.Kind == cell.StartTask {
+			list = append(list, ord)
+		}
+	}
+	return list
+}
+
+func TestEndedLifeIsNotListedAgain(t *testing.T) {
+	cel, events := newCell(true)
+	settle(start, cel, vm("a", 1))
+	cel.Replaced(start, "a")
+	for range 3 {
+		cel.SetHosts(start, []host.Host{vm("a", 1)})
+	}
+	if events["vmListed"] != 1 {
+		t.Errorf("an ended life was taken for a new VM %d times", events["vmListed"]-1)
+	}
+	cel.SetHosts(start, []host.Host{vm("a", 2)})
+	if events["vmListed"] != 2 {
+		t.Error("a new life under the id was not taken in")
+	}
+}
+
+func TestStartsWithinCapacity(t *testing.T) {
+	cel, _ := newCell(true)
+	settle(start, cel, vm("a", 1), vm("b", 1))
+	accept(start, cel, step(9, 1500))
+	if got := len(starts(cel.Plan(start))); got != 4 {
+		t.Errorf("%d starts of 1.5 cores on two VMs of 4, want 4", got)
+	}
+	if got := len(starts(cel.Plan(start))); got != 0 {
+		t.Errorf("%d more while all room is taken", got)
+	}
+}
+
+func TestRoomOfStrayIsTaken(t *testing.T) {
+	cel, _ := newCell(true)
+	settle(start, cel, vm("a", 1))
+	other := task.ID{Job: "ffffffffffffffff"}
+	cel.Report(start, start, "a", agent.Report{Born: 1, Active: []agent.Run{{Task: other, Number: 1}}})
+	accept(start, cel, step(1, 1000))
+	orders := cel.Plan(start)
+	if len(starts(orders)) != 0 || len(orders) != 1 || orders[0].Kind != cell.StopTask {
+		t.Fatalf("orders %+v, want one stop of the run that nobody knows", orders)
+	}
+	cel.Stopped(start, orders[0], agent.Done)
+	later := start.Add(time.Millisecond)
+	cel.Report(later, later, "a", agent.Report{Born: 1})
+	if len(starts(cel.Plan(later))) != 1 {
+		t.Error("no start after the stray has gone")
+	}
+}
+
+func TestAttemptsAreCountedOncePerRun(t *testing.T) {
+	cel, _ := newCell(true)
+	settle(start, cel, vm("a", 1))
+	accept(start, cel, step(1, 1000))
+	for run := 1; run <= 2; run++ {
+		ord := starts(cel.Plan(start))
+		if len(ord) != 1 {
+			t.Fatalf("run %d: %d starts", run, len(ord))
+		}
+		cel.Started(start, ord[0], agent.Done)
+		end := agent.End{Number: int64(run), Task: ord[0].Task, Run: ord[0].Run, How: agent.EndedFailed}
+		for range 3 {
+			cel.Report(start, start, "a", agent.Report{Born: 1, Ended: []agent.End{end}})
+		}
+	}
+	if len(starts(cel.Plan(start))) != 0 {
+		t.Error("started again after two failed runs of two")
+	}
+	bat := cel.TakeBatch()
+	cel.Recorded(bat)
+	if ste, _ := cel.State(jobID); ste != ledger.Failed {
+		t.Errorf("state %s, want failed", ste)
+	}
+}
+
+func TestCompletedIsShownOnlyWhenStored(t *testing.T) {
+	cel, _ := newCell(true)
+	settle(start, cel, vm("a", 1))
+	accept(start, cel, step(1, 1000))
+	ord := starts(cel.Plan(start))[0]
+	cel.Report(start, start, "a", agent.Report{Born: 1, Ended: []agent.End{{Number: 1, Task: ord.Task, Run: ord.Run, How: agent.EndedDone}}})
+	if ste, _ := cel.State(jobID); ste != ledger.Running {
+		t.Errorf("state %s before it is stored", ste)
+	}
+	if _, hld, _ := cel.Hold(start, "a"); hld.Acked != 0 {
+		t.Error("the end is acknowledged before it is stored")
+	}
+	bat := cel.TakeBatch()
+	cel.Returned(bat)
+	cel.Recorded(cel.TakeBatch())
+	if ste, _ := cel.State(jobID); ste != ledger.Completed {
+		t.Errorf("state %s after it is stored", ste)
+	}
+	if _, hld, _ := cel.Hold(start, "a"); hld.Acked != 1 {
+		t.Error("the end is not acknowledged after it is stored")
+	}
+}
+
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	cel, _ := newCell(true)
+	settle(start, cel, vm("a", 1))
+	gang := step(5, 1000)
+	gang.IsGang = true
+	accept(start, cel, gang)
+	if got := len(starts(cel.Plan(start))); got != 0 {
+		t.Fatalf("%d of 5 members started on 4 cores", got)
+	}
+	settle(start, cel, vm("a", 1), vm("b", 1))
+	orders := starts(cel.Plan(start))
+	if len(orders) != 5 {
+		t.Fatalf("%d members started, want 5", len(orders))
+	}
+	for _, ord := range orders {
+		if ord.Run != orders[0].Run {
+			t.Errorf("run %d and run %d in one gang", ord.Run, orders[0].Run)
+		}
+	}
+}
+
+func TestUnansweredStartIsStoppedBeforeItsTaskStartsElsewhere(t *testing.T) {
+	cel, _ := newCell(true)
+	settle(start, cel, vm("a", 1))
+	accept(start, cel, step(1, 1000))
+	ord := starts(cel.Plan(start))[0]
+	cel.Started(start, ord, agent.Unknown)
+	now := start.Add(10 * time.Millisecond)
+	cel.Report(now, now, "a", agent.Report{Born: 1})
+	orders := cel.Plan(now)
+	if len(starts(orders)) != 0 || len(orders) != 1 || orders[0].Kind != cell.StopTask || orders[0].Run != ord.Run {
+		t.Fatalf("orders %+v, want a stop of the start without an answer", orders)
+	}
+	cel.Stopped(now, orders[0], agent.Done)
+	now = now.Add(10 * time.Millisecond)
+	cel.Report(now, now, "a", agent.Report{Born: 1})
+	if again := starts(cel.Plan(now)); len(again) != 1 || again[0].Run <= ord.Run {
+		t.Errorf("after the stop: %+v, want a higher run", again)
+	}
+}
+
+func TestLastingTasksMoveOneAtATime(t *testing.T) {
+	cel, _ := newCell(true)
+	settle(start, cel, vm("a", 1), vm("b", 1), vm("c", 1))
+	lasting := step(2, 1000)
+	lasting.IsLasting, lasting.MaxPerVM, lasting.MaxAway = true, 1, 1
+	accept(start, cel, lasting)
+	var active = map[string]agent.Run{}
+	for _, ord := range starts(cel.Plan(start)) {
+		cel.Started(start, ord, agent.Done)
+		active[ord.Target.VM] = agent.Run{Task: ord.Task, Number: ord.Run, Percent: 100}
+	}
+	leaving := map[string]bool{}
+	for id, run := range active {
+		cel.Report(start, start, id, agent.Report{Born: 1, Active: []agent.Run{run}})
+		leaving[id] = true
+	}
+	cel.SetLeaving(start, leaving)
+	if got := len(cel.Plan(start)); got != 1 {
+		t.Errorf("%d tasks are stopped at once, one may be away", got)
+	}
+}
--- a/internal/schedule/cell/report.go
+++ b/internal/schedule/cell/report.go
@@ -17,6 +17,10 @@
 	listed := make(map[string]bool, len(hosts))
 	for _, hst := range hosts {
 		listed[hst.ID] = true
+		if born, isOver := cel.over[hst.ID]; isOver && hst.Born <= born {
+			continue // its announcement has not been removed yet
+		}
+		delete(cel.over, hst.ID)
 		mac, ok := cel.vms[hst.ID]
 		if !ok {
 			mac = newMachine(hst)
@@ -39,6 +43,11 @@
 			cel.reborn(now, mac, hst.Born)
 		}
 	}
+	for id := range cel.over {
+		if !listed[id] {
+			delete(cel.over, id)
+		}
+	}
 	for id, mac := range cel.vms {
 		if listed[id] || !mac.isListed {
 			continue
@@ -153,7 +162,7 @@
 }
 
 // Hold returns the renewal to send to a VM, and its target.
-func (cel *Cell) Hold(now time.Time, id string, wait time.Duration) (agent.Target, agent.Hold, bool) {
+func (cel *Cell) Hold(now time.Time, id string) (agent.Target, agent.Hold, bool) {
 	mac, ok := cel.vms[id]
 	if !ok {
 		return agent.Target{}, agent.Hold{}, false
@@ -162,11 +171,30 @@
 	// A VM that does not answer is asked without renewing, so that its leases run
 	// out on our clock too.
 	if mac.isHeld && !mac.isSilent {
-		hld.Wait, hld.Until = wait, cel.grant(now, mac)
+		hld.Wait, hld.Until = mac.lookWait(), cel.grant(now, mac)
 	}
 	return cel.target(mac), hld, true
 }
 
+const (
+	// idleWait is how long a VM holds back its answer when nothing ends there; it
+	// is the longest that VMs accept.
+	idleWait = 2 * time.Second
+	// busyWait is the same for a VM with tasks that end, most of which do within it.
+	// A look that is lost costs as much.
+	busyWait = 600 * time.Millisecond
+)
+
+// lookWait returns how long the next look may wait for an end.
+func (mac *machine) lookWait() time.Duration {
+	for _, wrk := range mac.works {
+		if !wrk.step.step.IsLasting || wrk.phase != running {
+			return busyWait
+		}
+	}
+	return idleWait
+}
+
 func (cel *Cell) target(mac *machine) agent.Target {
 	return agent.Target{VM: mac.host.ID, Address: mac.host.Address, Fence: cel.cfg.Fence}
 }
@@ -446,4 +474,5 @@
 	}
 	mac.dropStrays()
 	cel.forget(mac)
+	cel.over[id] = max(mac.born, mac.host.Born)
 }
--- a/internal/schedule/owner/duties.go
+++ b/internal/schedule/owner/duties.go
@@ -15,9 +15,6 @@
 const (
 	// planPause collects what arrives together before the next plan.
 	planPause = 2 * time.Millisecond
-	// holdWait is how long a VM holds back its answer when nothing ends there; it
-	// is the longest that VMs accept.
-	holdWait = 2 * time.Second
 	// holdPause is the least time between two looks at a VM.
 	holdPause = 40 * time.Millisecond
 	// holdRetry is the pause after a look that failed.
@@ -25,8 +22,9 @@
 	// confirmEach is the pause between looks at the claims. A silent VM's tasks wait
 	// for the next one after their lease, so it is a small part of that.
 	confirmEach = time.Second
-	// holdSlack is added to the wait before a look counts as unanswered.
-	holdSlack = time.Second
+	// holdSlack is added to the wait before a look counts as unanswered: the usual
+	// 2 ms, 250 times over.
+	holdSlack = 500 * time.Millisecond
 )
 
 // planLoop sends the cell's orders whenever something has changed.
@@ -139,7 +137,7 @@
 	for !own.isEnding() {
 		now := time.Now()
 		own.mu.Lock()
-		tgt, hld, ok := own.cel.Hold(now, id, holdWait)
+		tgt, hld, ok := own.cel.Hold(now, id)
 		if !ok {
 			delete(own.holders, id)
 		}
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -32,8 +32,9 @@
 	storeTimeout = 900 * time.Millisecond
 	// storeRetry is the pause after a call to the store that failed.
 	storeRetry = 100 * time.Millisecond
-	// orderTimeout bounds one order to a VM.
-	orderTimeout = time.Second
+	// orderTimeout bounds one order to a VM: its usual 2 ms, 250 times over. Until
+	// then an order that was lost keeps its task from starting elsewhere.
+	orderTimeout = 500 * time.Millisecond
 	// tick is how often the passage of time is taken in: a tenth of a second is
 	// well below the 250 ms by which a due task may be early or late.
 	tick = 100 * time.Millisecond
--- a/internal/schedule/owner/store.go
+++ b/internal/schedule/owner/store.go
@@ -18,6 +18,11 @@
 	// flushPause collects submissions and ends for one append. Calls to the store
 	// are limited and priced; callers wait for 1 to 2 of these pauses.
 	flushPause = 15 * time.Millisecond
+	// appendTimeout bounds the first try of an append: its usual 4 ms, 50 times
+	// over. Each repeat has twice as long, as a repeat is carried out once.
+	appendTimeout = 200 * time.Millisecond
+	// appendRetry is the pause before a repeat.
+	appendRetry = 20 * time.Millisecond
 	// batchBytes bounds one append; the store takes 2 MiB.
 	batchBytes = 1 << 20
 )
@@ -120,8 +125,8 @@
 // batch is certainly not stored.
 func (own *Owner) store(bat batch, seq int64) bool {
 	isUnknown := false
-	for {
-		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	for wait := appendTimeout; ; wait = min(2*wait, storeTimeout) {
+		ctx, cancel := context.WithTimeout(context.Background(), wait)
 		sent := time.Now()
 		_, err := own.cfg.Archive.Append(ctx, archive.Append{
 			Topic: jobsTopic, Partition: own.cfg.Partition, Records: bat.records, At: archive.Anywhere,
@@ -145,7 +150,7 @@
 		case !errors.Is(err, archive.ErrNotDone):
 			isUnknown = true
 		}
-		if !pause(own.quit, storeRetry) {
+		if !pause(own.quit, appendRetry) {
 			own.giveUp(bat, isUnknown)
 			return !isUnknown
 		}
