--- a/internal/fleet/balance/balance.go
+++ b/internal/fleet/balance/balance.go
@@ -9,8 +9,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"daisywheel/internal/fleet/turns"
 )
 
 const (
@@ -45,7 +43,7 @@
 	Wanted    int64 // thousandths of a core that work which can end in time can use
 	Late      int64 // thousandths of a core that the work which cannot could use
 	Incoming  int64 // thousandths of a core that are on their way
-	Arrived   turns.Arrival
+	Arrived   int64 // work since the owner's term began, in thousandths of a core for a second
 	VMs       []VM
 }
 
--- a/internal/schedule/cell/cell.go
+++ b/internal/schedule/cell/cell.go
@@ -10,7 +10,6 @@
 
 	"daisywheel/internal/fleet/agent"
 	"daisywheel/internal/fleet/queue"
-	"daisywheel/internal/fleet/turns"
 	"daisywheel/internal/job/plan"
 	"daisywheel/internal/job/task"
 	"daisywheel/internal/schedule/ledger"
@@ -67,9 +66,9 @@
 	over    map[string]int64 // lives that have ended and may still be listed, with their start
 	// confirmed is when this was last known to be the pool's owner.
 	confirmed time.Time
-	arrived   turns.Arrival // since the term began
-	ended     []string      // ids of ended jobs, oldest first
-	settled   bool          // no task of an earlier owner can run unknown
+	arrived   int64    // work since the term began, in thousandths of a core for a second
+	ended     []string // ids of ended jobs, oldest first
+	settled   bool     // no task of an earlier owner can run unknown
 }
 
 // New returns a Cell at the start of its owner's term.
@@ -118,8 +117,7 @@
 	cel.jobs[jb.Plan.ID] = ent
 	cel.openDue(now, ent)
 	if !jb.Plan.IsLasting() {
-		cel.arrived.Jobs++
-		cel.arrived.Work += jb.Plan.Work()
+		cel.arrived += jb.Plan.Work()
 	}
 }
 
--- a/internal/schedule/cell/cell_test.go
+++ b/internal/schedule/cell/cell_test.go
@@ -194,6 +194,25 @@
 	}
 }
 
+func TestOlderTasksWaitUntilEveryVMHasTold(t *testing.T) {
+	cel, _ := newCell(false)
+	cel.RestoreHost(start, vm("a", 1))
+	cel.RestoreHost(start, vm("b", 1))
+	pln := &plan.Plan{ID: jobID, Steps: []plan.Step{step(2, 1000)}}
+	cel.Restore(start, jobID, &ledger.Job{Queue: "q", Accepted: start, Plan: pln}, ledger.Progress{State: ledger.Running})
+	cel.SetHosts(start, []host.Host{vm("a", 1)}) // the list has lost b
+	cel.Report(start, start, "a", agent.Report{Born: 1})
+	if got := len(starts(cel.Plan(start))); got != 0 {
+		t.Fatalf("%d tasks start while b may run them", got)
+	}
+	running := agent.Run{Task: task.ID{Job: jobID, Index: 1}, Number: 1}
+	cel.Report(start, start, "b", agent.Report{Born: 1, Active: []agent.Run{running}})
+	orders := starts(cel.Plan(start))
+	if len(orders) != 1 || orders[0].Task.Index != 0 || orders[0].Target.VM != "a" {
+		t.Errorf("%+v, want task 0 on a, as task 1 runs on b", orders)
+	}
+}
+
 func TestLastingTasksMoveOneAtATime(t *testing.T) {
 	cel, _ := newCell(true)
 	settle(start, cel, vm("a", 1), vm("b", 1), vm("c", 1))
--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -29,6 +29,9 @@
 	patience = 900 * time.Millisecond
 	// retryPause is the pause before an owner is looked for again.
 	retryPause = 60 * time.Millisecond
+	// findPause is the least time between two looks for the owner of a pool. A
+	// hundred requests that wait while the store is down make ten looks a second.
+	findPause = 100 * time.Millisecond
 	// askTimeout bounds the wait for the answer of an owner: an append by a store
 	// that is 60 times as slow as usual, twice over.
 	askTimeout = 900 * time.Millisecond
@@ -58,11 +61,13 @@
 	cfg    Config
 	mu     sync.Mutex
 	owners map[string]string
+	looked map[string]time.Time // when each pool's owner was last looked for
+	isWell bool                 // the last look was answered
 }
 
 // New returns a Gateway and registers its methods on the link.
 func New(cfg Config) *Gateway {
-	gtw := &Gateway{cfg: cfg, owners: map[string]string{}}
+	gtw := &Gateway{cfg: cfg, owners: map[string]string{}, looked: map[string]time.Time{}, isWell: true}
 	cfg.Link.Handle(methodSubmit, gtw.serveSubmit)
 	cfg.Link.Handle(methodState, gtw.serveState)
 	cfg.Link.Handle(methodCancel, gtw.serveCancel)
@@ -207,21 +212,39 @@
 	return rep, err
 }
 
-// find looks up who owns the pool.
+// find looks up who owns the pool, for all requests that wait for it together.
 func (gtw *Gateway) find(ctx context.Context, service string) {
-	address, err := claim.Find(ctx, gtw.cfg.Archive, service)
-	if err != nil {
-		gtw.cfg.Journal.Warn(time.Now(), "ownerUnfound", slog.String("pool", service), slog.String("error", err.Error()))
+	now := time.Now()
+	gtw.mu.Lock()
+	isFresh := now.Sub(gtw.looked[service]) < findPause
+	if !isFresh {
+		gtw.looked[service] = now
+	}
+	gtw.mu.Unlock()
+	if isFresh {
 		return
 	}
+	address, err := claim.Find(ctx, gtw.cfg.Archive, service)
 	gtw.mu.Lock()
 	defer gtw.mu.Unlock()
-	if gtw.owners[service] != address {
+	if gtw.isWell != (err == nil) && ctx.Err() == nil {
+		gtw.isWell = err == nil
+		gtw.logFind(service, err)
+	}
+	if err == nil && gtw.owners[service] != address {
 		gtw.owners[service] = address
 		gtw.cfg.Journal.Event(time.Now(), "ownerFound", slog.String("pool", service), slog.String("address", address))
 	}
 }
 
+func (gtw *Gateway) logFind(service string, err error) {
+	if err == nil {
+		gtw.cfg.Journal.Event(time.Now(), "claimsRegained", slog.String("pool", service))
+		return
+	}
+	gtw.cfg.Journal.Warn(time.Now(), "claimsUnread", slog.String("pool", service), slog.String("error", err.Error()))
+}
+
 // local returns the owner that a peer asked for.
 func (gtw *Gateway) local(params json.RawMessage) (ask, *owner.Owner, error) {
 	var in ask
--- a/internal/schedule/service/fleet.go
+++ b/internal/schedule/service/fleet.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"daisywheel/internal/fleet/balance"
-	"daisywheel/internal/fleet/turns"
 	"daisywheel/internal/result/code"
 	"daisywheel/internal/result/fault"
 	"daisywheel/internal/schedule/cell"
@@ -162,7 +161,6 @@
 	Name   string   `json:"name"`
 	Wanted int64    `json:"wantedMilliCores"`
 	Late   int64    `json:"lateMilliCores,omitempty"`
-	Jobs   int64    `json:"arrivedJobs"`
 	Work   int64    `json:"arrivedMilliCoreSeconds"`
 	VMs    []vmForm `json:"vms"`
 }
@@ -185,7 +183,7 @@
 }
 
 func formOf(now time.Time, pol balance.Pool) poolForm {
-	frm := poolForm{Name: pol.Name, Wanted: pol.Wanted, Late: pol.Late, Jobs: pol.Arrived.Jobs, Work: pol.Arrived.Work, VMs: make([]vmForm, 0, len(pol.VMs))}
+	frm := poolForm{Name: pol.Name, Wanted: pol.Wanted, Late: pol.Late, Work: pol.Arrived, VMs: make([]vmForm, 0, len(pol.VMs))}
 	for _, vm := range pol.VMs {
 		frm.VMs = append(frm.VMs, vmForm{
 			ID: vm.ID, MilliCores: vm.MilliCores, Tasks: vm.Tasks, Lasting: vm.Lasting,
@@ -196,7 +194,7 @@
 }
 
 func poolOf(now time.Time, frm poolForm) balance.Pool {
-	pol := balance.Pool{Name: frm.Name, Wanted: frm.Wanted, Late: frm.Late, Arrived: turns.Arrival{Jobs: frm.Jobs, Work: frm.Work}}
+	pol := balance.Pool{Name: frm.Name, Wanted: frm.Wanted, Late: frm.Late, Arrived: frm.Work}
 	for _, vm := range frm.VMs {
 		pol.VMs = append(pol.VMs, balance.VM{
 			ID: vm.ID, MilliCores: vm.MilliCores, Tasks: vm.Tasks, Lasting: vm.Lasting,
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -52,6 +52,9 @@
 	// claimed again.
 	reopenAfter = 700 * time.Millisecond
 	openTimeout = 5 * time.Second
+	// rejoinDelay is how long an entry that comes back from an outage leaves pools
+	// to their owners: two joins.
+	rejoinDelay = 1500 * time.Millisecond
 	// leaseLength is how long tasks outlive the last word of an owner: longer than
 	// a change of owner takes (a membership of 2 s, a claim and a look), and not
 	// much longer, as the tasks of a dead VM wait as long.
@@ -88,12 +91,14 @@
 	opening  map[string]bool
 	failedAt map[string]time.Time
 	joinedAt time.Time
-	steward  *steward.Steward
-	waves    map[int64]upkeep.Wave
-	leaving  map[string]leave // by pool
-	fleetAt  string           // address of the steward
-	duties   []*part.Part
-	stopping atomic.Bool
+	// regainedAt is when the membership was last confirmed after a gap.
+	regainedAt time.Time
+	steward    *steward.Steward
+	waves      map[int64]upkeep.Wave
+	leaving    map[string]leave // by pool
+	fleetAt    string           // address of the steward
+	duties     []*part.Part
+	stopping   atomic.Bool
 }
 
 // Start starts the duties. Ready tells when callers can be served.
@@ -188,6 +193,9 @@
 func (svc *Service) dealt(sent time.Time, parts []int) {
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
+	if sent.Sub(svc.joinedAt) > aliveWithin {
+		svc.regainedAt = sent
+	}
 	svc.parts, svc.joinedAt = parts, sent
 }
 
@@ -343,10 +351,12 @@
 	}
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
+	// After an outage of the store the owners come back as well, in any order.
+	mayClaim := now.Sub(svc.regainedAt) >= rejoinDelay
 	isStale := now.Sub(svc.joinedAt) >= cell.OwnerReach
 	dealt := map[int]bool{}
 	for _, num := range svc.parts {
-		dealt[num] = !isStale
+		dealt[num] = !isStale && mayClaim
 	}
 	for pool, own := range svc.owners {
 		if isStale || isClosed(own.Lost()) {
--- a/internal/schedule/steward/steward.go
+++ b/internal/schedule/steward/steward.go
@@ -13,10 +13,10 @@
 	"github.com/cockroachdb/errors"
 
 	"daisywheel/internal/event/journal"
+	"daisywheel/internal/fleet/arrivals"
 	"daisywheel/internal/fleet/balance"
 	"daisywheel/internal/fleet/directory"
 	"daisywheel/internal/fleet/queue"
-	"daisywheel/internal/fleet/turns"
 	"daisywheel/internal/fleet/upkeep"
 	"daisywheel/internal/kernel/part"
 	"daisywheel/internal/schedule/archive"
@@ -78,7 +78,7 @@
 	unsettled []archive.Record
 	mu        sync.Mutex
 	reports   map[string]report
-	turns     *turns.Turns
+	arrivals  *arrivals.Arrivals
 	missing   map[string]int               // silent VMs that the latest lists do not show
 	machines  map[string]directory.Machine // by name
 	listedAt  time.Time
@@ -119,7 +119,7 @@
 		return nil, err
 	}
 	stw := &Steward{
-		cfg: cfg, clm: clm, since: now, reports: map[string]report{}, turns: turns.New(), machines: map[string]directory.Machine{},
+		cfg: cfg, clm: clm, since: now, reports: map[string]report{}, arrivals: arrivals.New(), machines: map[string]directory.Machine{},
 		tasks: map[string]*errand{}, waves: map[int64]*wave{}, lost: make(chan struct{}),
 	}
 	if err := stw.append(ctx, nil); err != nil {
@@ -164,7 +164,7 @@
 	stw.mu.Lock()
 	defer stw.mu.Unlock()
 	stw.reports[pol.Name] = report{pool: pol, at: now}
-	stw.turns.Observe(now, pol.Name, pol.Arrived)
+	stw.arrivals.Observe(now, pol.Name, pol.Arrived)
 	asked := make(map[string]bool, len(stw.tasks))
 	for _, ern := range stw.tasks {
 		asked[ern.vm] = true
@@ -338,7 +338,7 @@
 			standby[svc.Name] = &balance.Pool{Name: svc.Name, IsStandby: true}
 		}
 	}
-	incoming, foreseen := stw.incoming(), stw.turns.Forecast(now)
+	incoming := stw.incoming()
 	for name, mac := range stw.machines {
 		if mac.VM != "" {
 			names[mac.VM] = name
@@ -359,7 +359,7 @@
 		}
 		pol := rpt.pool
 		pol.Incoming = incoming[pol.Name]
-		pol.Wanted = max(pol.Wanted, stw.turns.Rate(pol.Name)) + foreseen[pol.Name]
+		pol.Wanted = max(pol.Wanted, stw.arrivals.Rate(pol.Name))
 		pol.VMs = append([]balance.VM(nil), pol.VMs...)
 		for i := range pol.VMs {
 			mac, ok := stw.machines[names[pol.VMs[i].ID]]
@@ -369,17 +369,17 @@
 		}
 		pools = append(pools, pol)
 	}
-	stw.logPools(now, pools, foreseen)
+	stw.logPools(now, pools)
 	for _, trf := range balance.Decide(now, pools) {
 		mac := stw.machines[names[trf.VM]]
 		stw.tasks[mac.Name] = &errand{machine: mac.Name, vm: mac.VM, pool: trf.To, began: now, milli: mac.MilliCores}
 		stw.cfg.Journal.Event(now, "moveBegun", slog.String("machine", mac.Name), slog.String("vm", trf.VM),
-			slog.String("from", trf.From), slog.String("to", trf.To), slog.Int64("foreseenMilliCores", foreseen[trf.To]))
+			slog.String("from", trf.From), slog.String("to", trf.To))
 	}
 }
 
 // logPools writes how the pools stand, each second.
-func (stw *Steward) logPools(now time.Time, pools []balance.Pool, foreseen map[string]int64) {
+func (stw *Steward) logPools(now time.Time, pools []balance.Pool) {
 	if now.Sub(stw.loggedAt) < logEach {
 		return
 	}
@@ -394,7 +394,7 @@
 		}
 		stw.cfg.Journal.Event(now, "poolState", slog.String("pool", pol.Name), slog.Int("vms", len(pol.VMs)),
 			slog.Int("usable", usable), slog.Int("tasks", tasks), slog.Int64("wantedMilliCores", pol.Wanted),
-			slog.Int64("foreseenMilliCores", foreseen[pol.Name]), slog.Int64("incomingMilliCores", pol.Incoming))
+			slog.Int64("incomingMilliCores", pol.Incoming))
 	}
 }
 
