--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -22,7 +22,7 @@
 // commands lists the subcommands in the order in which help prints them.
 func commands() []command {
 	return []command{
-		cmdDemo, cmdEntry, cmdScheduler, cmdStatus, cmdTable, cmdPool, cmdVM, cmdJob, cmdMaintenance, cmdTimeline, cmdVersion, cmdHelp,
+		cmdDemo, cmdEntry, cmdScheduler, cmdStatus, cmdTable, cmdPool, cmdVM, cmdJob, cmdMaintenance, cmdTimeline, cmdExplain, cmdVersion, cmdHelp,
 	}
 }
 
--- a/internal/event/journal/journal.go
+++ b/internal/event/journal/journal.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +22,9 @@
 	Out     io.Writer
 	Process string
 	Zone    string
+	// MaxPerSecond bounds the lines of a second; 0 sets no bound. The first line of
+	// the next second tells how many were left out.
+	MaxPerSecond int
 }
 
 // Journal is the event log of one process. It is safe for concurrent use. Lines
@@ -30,6 +34,11 @@
 	handler slog.Handler
 	lines   *ring.Ring[[]byte]
 	dropped atomic.Int64
+	most    int
+	mu      sync.Mutex
+	second  int64 // Unix time of the lines that are counted
+	lately  int
+	skipped int
 	quit    chan struct{}
 	done    chan struct{}
 }
@@ -37,7 +46,7 @@
 // New returns a Journal that writes to cfg.Out until it is closed.
 func New(cfg Config) *Journal {
 	jnl := &Journal{
-		lines: ring.New[[]byte](ringSize), quit: make(chan struct{}), done: make(chan struct{}),
+		most: cfg.MaxPerSecond, lines: ring.New[[]byte](ringSize), quit: make(chan struct{}), done: make(chan struct{}),
 	}
 	var sink io.Writer = jnl
 	if cfg.Out == nil {
@@ -97,6 +106,35 @@
 }
 
 func (jnl *Journal) write(now time.Time, level slog.Level, kind string, attrs []slog.Attr) {
+	isAdmitted, skipped := jnl.admit(now)
+	if skipped > 0 {
+		jnl.emit(now, slog.LevelWarn, "linesLeftOut", []slog.Attr{slog.Int("count", skipped)})
+	}
+	if isAdmitted {
+		jnl.emit(now, level, kind, attrs)
+	}
+}
+
+// admit reports whether the second has room for one more line, and how many lines
+// were left out in the second before, once.
+func (jnl *Journal) admit(now time.Time) (isAdmitted bool, skipped int) {
+	if jnl.most == 0 {
+		return true, 0
+	}
+	jnl.mu.Lock()
+	defer jnl.mu.Unlock()
+	if second := now.Unix(); second != jnl.second {
+		skipped, jnl.skipped = jnl.skipped, 0
+		jnl.second, jnl.lately = second, 0
+	}
+	if jnl.lately++; jnl.lately > jnl.most {
+		jnl.skipped++
+		return false, skipped
+	}
+	return true, skipped
+}
+
+func (jnl *Journal) emit(now time.Time, level slog.Level, kind string, attrs []slog.Attr) {
 	rec := slog.NewRecord(now, level, kind, 0)
 	rec.AddAttrs(attrs...)
 	_ = jnl.handler.Handle(context.Background(), rec)
--- a/internal/event/journal/journal_test.go
+++ b/internal/event/journal/journal_test.go
@@ -64,3 +64,18 @@
 		t.Error("the filter does not select")
 	}
 }
+
+func TestLinesOfASecondAreBounded(t *testing.T) {
+	var out bytes.Buffer
+	jnl := New(Config{Out: &out, MaxPerSecond: 10})
+	now := time.Unix(1000, 0)
+	for range 1000 {
+		jnl.Event(now, "busy")
+	}
+	jnl.Event(now.Add(time.Second), "calm")
+	jnl.Close()
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	if len(lines) != 12 || !strings.Contains(lines[10], `"linesLeftOut"`) || !strings.Contains(lines[10], `"count":990`) {
+		t.Errorf("%d lines, the eleventh %s; want 10, the count of 990 and the last", len(lines), lines[min(10, len(lines)-1)])
+	}
+}
--- a/internal/schedule/owner/duties.go
+++ b/internal/schedule/owner/duties.go
@@ -64,6 +64,7 @@
 		out, err = own.cfg.Agent.Pace(ctx, ord.Target, ord.Task, ord.Run, ord.Percent)
 	}
 	now := time.Now()
+	own.orderTime.Update(now.Sub(sent).Seconds())
 	if err != nil {
 		own.cfg.Journal.Warn(now, "orderFailed", slog.String("task", ord.Task.String()), slog.Int("run", ord.Run),
 			slog.Int("order", int(ord.Kind)), slog.String("vm", ord.Target.VM), slog.Int("outcome", int(out)),
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -59,23 +59,26 @@
 
 // Owner is the owner of a pool for one term. It is safe for concurrent use.
 type Owner struct {
-	cfg       Config
-	fence     int64
-	mu        sync.Mutex
-	cel       *cell.Cell
-	holders   map[string]chan struct{}
-	pending   map[string]*submission
-	queued    []*submission // not yet part of an append
-	waiters   []chan struct{}
-	stuck     time.Time // when the append in flight first failed; zero while all is well
-	kick      chan struct{}
-	flush     chan struct{}
-	quit      chan struct{}
-	lost      chan struct{}
-	closeOnce sync.Once
-	lostOnce  sync.Once
-	group     sync.WaitGroup
-	done      chan struct{}
+	cfg     Config
+	fence   int64
+	mu      sync.Mutex
+	cel     *cell.Cell
+	holders map[string]chan struct{}
+	pending map[string]*submission
+	queued  []*submission // not yet part of an append
+	waiters []chan struct{}
+	// appendTime and orderTime are histograms of calls, in seconds.
+	appendTime *metrics.Histogram
+	orderTime  *metrics.Histogram
+	stuck      time.Time // when the append in flight first failed; zero while all is well
+	kick       chan struct{}
+	flush      chan struct{}
+	quit       chan struct{}
+	lost       chan struct{}
+	closeOnce  sync.Once
+	lostOnce   sync.Once
+	group      sync.WaitGroup
+	done       chan struct{}
 }
 
 // submission is a job that waits to be stored.
@@ -97,6 +100,8 @@
 		kick: make(chan struct{}, 1), flush: make(chan struct{}, 1),
 		quit: make(chan struct{}), lost: make(chan struct{}), done: make(chan struct{}),
 	}
+	own.appendTime = cfg.Metrics.GetOrCreateHistogram(`daisywheel_append_seconds{pool="` + cfg.Service + `"}`)
+	own.orderTime = cfg.Metrics.GetOrCreateHistogram(`daisywheel_order_seconds{pool="` + cfg.Service + `"}`)
 	own.cel = cell.New(cell.Config{
 		Name: cfg.Service, Fence: clm.Fence(), RunBase: clm.RunBase(), LeaseMax: cfg.LeaseMax, StatusKept: cfg.StatusKept,
 		IsFirst: clm.Term() == 1, Event: own.event,
@@ -117,7 +122,10 @@
 	return own, nil
 }
 
+// event writes a line and counts it, so that what is left out of the log under
+// load is seen in the metrics.
 func (own *Owner) event(now time.Time, kind string, attrs ...slog.Attr) {
+	own.cfg.Metrics.GetOrCreateCounter(`daisywheel_events_total{pool="` + own.cfg.Service + `",event="` + kind + `"}`).Inc()
 	own.cfg.Journal.Event(now, kind, append(attrs, slog.String("pool", own.cfg.Service))...)
 }
 
--- a/internal/schedule/owner/store.go
+++ b/internal/schedule/owner/store.go
@@ -134,6 +134,7 @@
 		})
 		cancel()
 		now := time.Now()
+		own.appendTime.Update(now.Sub(sent).Seconds())
 		own.noteStore(now, sent, err)
 		switch {
 		case err == nil:
