--- a/internal/fleet/upkeep/upkeep.go
+++ b/internal/fleet/upkeep/upkeep.go
@@ -18,41 +18,21 @@
 
 // Candidate is a machine of a wave that has not been maintained.
 type Candidate struct {
-	Machine  string
-	Tasks    int  // that would have to end or move
-	Lasting  int  // of the tasks: each is restarted elsewhere
-	IsSoon   bool // its pool has room to spare now
-	IsOnWay  bool // it is being emptied already
-	IsStayer bool // it cannot be emptied yet
+	Machine string
+	Tasks   int // that would have to end or move
+	Lasting int // of the tasks: each is restarted elsewhere
 }
 
-// Next returns the machines that should be emptied now, at most free of them:
-// those that are on their way, then the ones that cost least.
+// Next returns the machines that should be emptied now, at most free of them: the
+// ones that interrupt least.
 func Next(cands []Candidate, free int) []string {
 	list := slices.Clone(cands)
 	slices.SortStableFunc(list, func(one, two Candidate) int {
-		return cmp.Or(rankOf(one)-rankOf(two), one.Lasting-two.Lasting, one.Tasks-two.Tasks, cmp.Compare(one.Machine, two.Machine))
+		return cmp.Or(one.Lasting-two.Lasting, one.Tasks-two.Tasks, cmp.Compare(one.Machine, two.Machine))
 	})
 	var next []string
-	for _, cnd := range list {
-		if len(next) >= free {
-			break
-		}
-		if !cnd.IsStayer {
-			next = append(next, cnd.Machine)
-		}
+	for _, cnd := range list[:max(0, min(free, len(list)))] {
+		next = append(next, cnd.Machine)
 	}
 	return next
 }
-
-func rankOf(cnd Candidate) int {
-	switch {
-	case cnd.IsOnWay:
-		return 0
-	case cnd.Tasks == 0:
-		return 1
-	case cnd.IsSoon:
-		return 2
-	}
-	return 3
-}
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -64,7 +64,6 @@
 // Config holds what a Service needs.
 type Config struct {
 	Name        string
-	Zone        string
 	PeerAddress string
 	Partitions  int
 	LeaseMax    time.Duration
--- a/internal/schedule/service/service_test.go
+++ b/internal/schedule/service/service_test.go
@@ -67,7 +67,7 @@
 		ste.t.Fatal(err)
 	}
 	svc, err := service.Start(time.Now(), service.Config{
-		Name: name, Zone: "z", PeerAddress: address, Partitions: 16, LeaseMax: 6 * time.Second, StatusKept: time.Minute,
+		Name: name, PeerAddress: address, Partitions: 16, LeaseMax: 6 * time.Second, StatusKept: time.Minute,
 		Archive: store.Client(), Directory: ste.directory(), Agent: ste.fleet.Agent(),
 		Journal: journal.New(journal.Config{}), Metrics: metrics.NewSet(),
 	})
--- a/internal/standin/logstore/logstore.go
+++ b/internal/standin/logstore/logstore.go
@@ -37,11 +37,10 @@
 
 // Store is a log in memory. It is safe for concurrent use.
 type Store struct {
-	cfg     Config
-	mu      sync.Mutex
-	parts   map[string]*partition
-	groups  map[string]*members
-	appends int
+	cfg    Config
+	mu     sync.Mutex
+	parts  map[string]*partition
+	groups map[string]*members
 }
 
 type partition struct {
@@ -70,13 +69,6 @@
 	return archive.Client{Append: sto.append, Newest: sto.newest, Lookup: sto.lookup, Join: sto.join, Leave: sto.leave}
 }
 
-// Appends returns how many appends were carried out.
-func (sto *Store) Appends() int {
-	sto.mu.Lock()
-	defer sto.mu.Unlock()
-	return sto.appends
-}
-
 func (sto *Store) part(topic string, num int) *partition {
 	key := fmt.Sprintf("%s/%d", topic, num)
 	prt, ok := sto.parts[key]
@@ -103,7 +95,6 @@
 	}
 	sto.mu.Lock()
 	offset, err := sto.part(app.Topic, app.Partition).append(app)
-	sto.appends++
 	sto.mu.Unlock()
 	if flt == LostAnswer {
 		<-ctx.Done()
