--- a/internal/schedule/cell/report.go
+++ b/internal/schedule/cell/report.go
@@ -21,27 +21,7 @@
 			continue // its announcement has not been removed yet
 		}
 		delete(cel.over, hst.ID)
-		mac, ok := cel.vms[hst.ID]
-		if !ok {
-			mac = newMachine(hst)
-			cel.vms[hst.ID] = mac
-			cel.record(mac)
-			cel.cfg.Event(now, "vmListed", slog.String("vm", hst.ID), slog.String("zone", hst.Zone), slog.Int64("born", hst.Born))
-		}
-		if mac.host.IsDraining != hst.IsDraining {
-			cel.cfg.Event(now, "vmDraining", slog.String("vm", hst.ID), slog.Bool("draining", hst.IsDraining))
-		}
-		if mac.isOld && hst.Born > mac.host.Born && mac.host.Born != 0 {
-			mac.isOld = false // a new life holds nothing of before
-		}
-		if mac.host.Address != hst.Address {
-			mac.host = hst
-			cel.record(mac)
-		}
-		mac.host, mac.isListed, mac.listedLast = hst, true, now
-		if hst.Born != 0 && mac.born != 0 && hst.Born > mac.born {
-			cel.reborn(now, mac, hst.Born)
-		}
+		cel.takeHost(now, hst)
 	}
 	for id := range cel.over {
 		if !listed[id] {
@@ -49,11 +29,34 @@
 		}
 	}
 	for id, mac := range cel.vms {
-		if listed[id] || !mac.isListed {
-			continue
+		if mac.isListed && !listed[id] {
+			mac.isListed = false
+			cel.cfg.Event(now, "vmUnlisted", slog.String("vm", id), slog.Int("tasks", len(mac.works)))
 		}
-		mac.isListed = false
-		cel.cfg.Event(now, "vmUnlisted", slog.String("vm", id), slog.Int("tasks", len(mac.works)))
+	}
+}
+
+func (cel *Cell) takeHost(now time.Time, hst host.Host) {
+	mac, ok := cel.vms[hst.ID]
+	if !ok {
+		mac = newMachine(hst)
+		cel.vms[hst.ID] = mac
+		cel.record(mac)
+		cel.cfg.Event(now, "vmListed", slog.String("vm", hst.ID), slog.String("zone", hst.Zone), slog.Int64("born", hst.Born))
+	}
+	if mac.host.IsDraining != hst.IsDraining {
+		cel.cfg.Event(now, "vmDraining", slog.String("vm", hst.ID), slog.Bool("draining", hst.IsDraining))
+	}
+	if mac.isOld && hst.Born > mac.host.Born && mac.host.Born != 0 {
+		mac.isOld = false // a new life holds nothing of before
+	}
+	isMoved := mac.host.Address != hst.Address
+	mac.host, mac.isListed = hst, true
+	if isMoved {
+		cel.record(mac)
+	}
+	if hst.Born != 0 && mac.born != 0 && hst.Born > mac.born {
+		cel.reborn(now, mac, hst.Born)
 	}
 }
 
--- a/internal/schedule/cell/state.go
+++ b/internal/schedule/cell/state.go
@@ -110,7 +110,6 @@
 	acked      int64 // newest end whose effect is stored
 	streak     int   // failures in a row
 	quietUntil time.Time
-	listedLast time.Time
 }
 
 // stray is a run that is not wanted where it runs.
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -17,7 +17,6 @@
 	"daisywheel/internal/fleet/balance"
 	"daisywheel/internal/fleet/host"
 	"daisywheel/internal/fleet/queue"
-	"daisywheel/internal/job/plan"
 	"daisywheel/internal/result/code"
 	"daisywheel/internal/result/fault"
 	"daisywheel/internal/schedule/archive"
@@ -316,118 +315,6 @@
 	}
 }
 
-// Submit stores a job and returns when it is stored. A fault with the code
-// OutcomeUnknown means that it may be stored.
-func (own *Owner) Submit(ctx context.Context, now time.Time, pln *plan.Plan, queue string) error {
-	own.mu.Lock()
-	if _, ok := own.cel.State(pln.ID); ok {
-		own.mu.Unlock()
-		return nil
-	}
-	sub, ok := own.pending[pln.ID]
-	if !ok {
-		if own.isEnding() {
-			own.mu.Unlock()
-			return fault.New(code.NotReady, "the pool changes its owner")
-		}
-		if !own.stuck.IsZero() && now.Sub(own.stuck) > stuckAfter {
-			own.mu.Unlock()
-			return fault.New(code.LogUnavailable, "nothing can be stored since %s", now.Sub(own.stuck).Round(time.Millisecond))
-		}
-		sub = &submission{job: ledger.Job{Plan: pln, Queue: queue, Accepted: now}, stored: make(chan struct{})}
-		own.pending[pln.ID] = sub
-		own.queued = append(own.queued, sub)
-		own.requestFlush()
-	}
-	own.mu.Unlock()
-	select {
-	case <-sub.stored:
-		return sub.err
-	case <-ctx.Done():
-		return fault.New(code.OutcomeUnknown, "job %s may be stored", pln.ID)
-	case <-own.done:
-	}
-	select {
-	case <-sub.stored:
-		return sub.err
-	default:
-		return fault.New(code.OutcomeUnknown, "job %s may be stored", pln.ID)
-	}
-}
-
-// settle ends a submission.
-func (own *Owner) settle(sub *submission, err error) {
-	sub.err = err
-	delete(own.pending, sub.job.Plan.ID)
-	close(sub.stored)
-}
-
-func (own *Owner) requestFlush() {
-	select {
-	case own.flush <- struct{}{}:
-	default:
-	}
-}
-
-// State returns the stored state of a job; ok is false when the owner knows
-// neither the job nor a submission of it that is not settled.
-func (own *Owner) State(id string) (ste ledger.State, ok bool, err error) {
-	own.mu.Lock()
-	defer own.mu.Unlock()
-	if own.isEnding() {
-		return 0, false, fault.New(code.NotReady, "the pool changes its owner")
-	}
-	if _, isPending := own.pending[id]; isPending {
-		return ledger.Queued, true, nil
-	}
-	ste, ok = own.cel.State(id)
-	return ste, ok, nil
-}
-
-// Queued returns how many jobs of the queue have not begun.
-func (own *Owner) Queued(queue string) int {
-	own.mu.Lock()
-	defer own.mu.Unlock()
-	return own.cel.Queued(queue)
-}
-
-// Cancel ends a job and returns when that is stored. It reports false when there
-// is no such job.
-func (own *Owner) Cancel(ctx context.Context, now time.Time, id string) (found bool, err error) {
-	own.mu.Lock()
-	if own.isEnding() {
-		own.mu.Unlock()
-		return false, fault.New(code.NotReady, "the pool changes its owner")
-	}
-	if sub, isPending := own.pending[id]; isPending {
-		own.mu.Unlock()
-		select {
-		case <-sub.stored:
-		case <-ctx.Done():
-			return true, fault.New(code.OutcomeUnknown, "job %s is being stored", id)
-		}
-		own.mu.Lock()
-	}
-	found = own.cel.Cancel(now, id)
-	stored := make(chan struct{})
-	if found {
-		own.waiters = append(own.waiters, stored)
-		own.requestFlush()
-		own.wake()
-	}
-	own.mu.Unlock()
-	if !found {
-		return false, nil
-	}
-	select {
-	case <-stored:
-		return true, nil
-	case <-ctx.Done():
-	case <-own.done:
-	}
-	return true, fault.New(code.OutcomeUnknown, "cancellation of job %s may be stored", id)
-}
-
 // Pool returns what the balance of the fleet needs to know of the pool.
 func (own *Owner) Pool(now time.Time) balance.Pool {
 	own.mu.Lock()
--- /dev/null
+++ b/internal/schedule/steward/moves.go
@@ -0,0 +1,116 @@
+package steward
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"daisywheel/internal/fleet/balance"
+	"daisywheel/internal/fleet/queue"
+)
+
+// planMoves begins the moves that the balance asks for.
+func (stw *Steward) planMoves(now time.Time) {
+	tab := stw.cfg.Table()
+	if tab == nil {
+		return
+	}
+	names := stw.namesOfVMs()
+	pools := append(stw.sparePools(tab, names), stw.reportedPools(now, names)...)
+	stw.logPools(now, pools)
+	for _, trf := range balance.Decide(now, pools) {
+		mac := stw.machines[names[trf.VM]]
+		stw.tasks[mac.Name] = &errand{machine: mac.Name, vm: mac.VM, pool: trf.To, began: now, milli: mac.MilliCores}
+		stw.cfg.Journal.Event(now, "moveBegun", slog.String("machine", mac.Name), slog.String("vm", trf.VM),
+			slog.String("from", trf.From), slog.String("to", trf.To))
+	}
+}
+
+// namesOfVMs returns the names of machines by the ids of their present lives.
+func (stw *Steward) namesOfVMs() map[string]string {
+	names := make(map[string]string, len(stw.machines))
+	for name, mac := range stw.machines {
+		if mac.VM != "" {
+			names[mac.VM] = name
+		}
+	}
+	return names
+}
+
+// sparePools returns the pools whose VMs are off. Such a machine has no life, so
+// its own name stands for it, which is added to names.
+func (stw *Steward) sparePools(tab *queue.Table, names map[string]string) []balance.Pool {
+	var pools []balance.Pool
+	for _, svc := range tab.Services() {
+		if !svc.IsStandby {
+			continue
+		}
+		pol := balance.Pool{Name: svc.Name, IsStandby: true}
+		for name, mac := range stw.machines {
+			if mac.Pool == svc.Name && mac.IsUp && stw.tasks[name] == nil {
+				pol.VMs = append(pol.VMs, balance.VM{ID: name, MilliCores: mac.MilliCores, IsUsable: true})
+				names[name] = name
+			}
+		}
+		pools = append(pools, pol)
+	}
+	return pools
+}
+
+// reportedPools returns the pools whose owners have reported lately. VMs that the
+// list of machines does not show, or that are on an errand, cannot move.
+func (stw *Steward) reportedPools(now time.Time, names map[string]string) []balance.Pool {
+	var pools []balance.Pool
+	incoming := stw.incoming()
+	for _, rpt := range stw.reports {
+		if now.Sub(rpt.at) > reportAge {
+			continue
+		}
+		pol := rpt.pool
+		pol.Incoming = incoming[pol.Name]
+		pol.Wanted = max(pol.Wanted, stw.arrivals.Rate(pol.Name))
+		pol.VMs = slices.Clone(pol.VMs)
+		for i := range pol.VMs {
+			mac, ok := stw.machines[names[pol.VMs[i].ID]]
+			if !ok || stw.tasks[mac.Name] != nil {
+				pol.VMs[i].IsUsable = false
+			}
+		}
+		pools = append(pools, pol)
+	}
+	return pools
+}
+
+// logPools writes how the pools stand, each second.
+func (stw *Steward) logPools(now time.Time, pools []balance.Pool) {
+	if now.Sub(stw.loggedAt) < logEach {
+		return
+	}
+	stw.loggedAt = now
+	for _, pol := range pools {
+		usable, tasks := 0, 0
+		for _, vm := range pol.VMs {
+			if vm.IsUsable && !vm.IsLeaving {
+				usable++
+			}
+			tasks += vm.Tasks
+		}
+		stw.cfg.Journal.Event(now, "poolState", slog.String("pool", pol.Name), slog.Int("vms", len(pol.VMs)),
+			slog.Int("usable", usable), slog.Int("tasks", tasks), slog.Int64("wantedMilliCores", pol.Wanted),
+			slog.Int64("incomingMilliCores", pol.Incoming))
+	}
+}
+
+// logEach is the pause between two lines on a pool.
+const logEach = time.Second
+
+// incoming returns what is on its way to each pool, in thousandths of a core.
+func (stw *Steward) incoming() map[string]int64 {
+	sums := map[string]int64{}
+	for _, ern := range stw.tasks {
+		if ern.pool != "" {
+			sums[ern.pool] += ern.milli
+		}
+	}
+	return sums
+}
