Count a VM as empty only when the ends on it are stored

Change: a VM with ends that are not stored counts as having tasks; a test that failed before. Ruled out: lapses, as the run had ended done 10 s before.

--- a/internal/schedule/cell/cell_test.go
+++ b/internal/schedule/cell/cell_test.go
@@ -234,3 +234,20 @@
 		t.Errorf("%d tasks are stopped at once, one may be away", got)
 	}
 }
+
+// A VM that is moved away takes the ends that it lists with it. What they tell
+// must be stored before it counts as empty.
+func TestVMIsEmptyOnlyWhenItsEndsAreStored(t *testing.T) {
+	cel, _ := newCell(true)
+	settle(start, cel, vm("a", 1))
+	accept(start, cel, step(1, 1000))
+	ord := starts(cel.Plan(start))[0]
+	cel.Report(start, start, "a", agent.Report{Born: 1, Ended: []agent.End{{Number: 1, Task: ord.Task, Run: ord.Run, How: agent.EndedDone}}})
+	if got := cel.Pool(start).VMs[0].Tasks; got == 0 {
+		t.Error("the VM counts as empty before the end is stored")
+	}
+	cel.Recorded(cel.TakeBatch())
+	if got := cel.Pool(start).VMs[0].Tasks; got != 0 {
+		t.Errorf("the VM counts %d tasks after the end is stored", got)
+	}
+}
--- a/internal/schedule/cell/pool.go
+++ b/internal/schedule/cell/pool.go
@@ -17,6 +17,9 @@
 			Since: mac.firstHeard, IsLeaving: mac.isLeaving, IsSilent: mac.isSilent,
 			IsUsable: mac.isHeld && mac.isListed && !mac.host.IsDraining && now.Sub(mac.heardAt) <= staleAfter,
 		}
+		if mac.acked < mac.seen {
+			vm.Tasks++ // ends that are not stored would be lost with the VM
+		}
 		for _, wrk := range mac.works {
 			if wrk.step.step.IsLasting {
 				vm.Lasting++
