--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	script/model
 
 bench:
-	$(GO) test -run xxx -bench . -benchmem ./internal/request/router ./test/passthrough
+	$(GO) test -run xxx -bench . -benchmem ./internal/request/router ./internal/schedule/cell ./platform/runner ./test/passthrough
 
 capacity:
 	$(GO) run ./test/capacity -check docs/CAPACITY.md
--- /dev/null
+++ b/internal/schedule/cell/bench_test.go
@@ -0,0 +1,36 @@
+package cell_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"daisywheel/internal/fleet/agent"
+	"daisywheel/internal/fleet/host"
+	"daisywheel/internal/job/plan"
+	"daisywheel/internal/schedule/ledger"
+)
+
+// BenchmarkDecision measures one task from its end to the start of the next, in a
+// pool of 350 VMs that are half full.
+func BenchmarkDecision(b *testing.B) {
+	cel, _ := newCell(true)
+	var hosts []host.Host
+	for i := range 350 {
+		hosts = append(hosts, vm(fmt.Sprintf("vm-%d", i), 1))
+	}
+	settle(start, cel, hosts...)
+	cel.Accept(start, ledger.Job{Queue: "q", Accepted: start, Plan: &plan.Plan{ID: jobID, Steps: []plan.Step{step(700, 1000)}}})
+	cel.Plan(start)
+	b.ReportAllocs()
+	number, now := int64(0), start
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Microsecond)
+		id := fmt.Sprintf("%016x", i)
+		cel.Accept(now, ledger.Job{Queue: "q", Accepted: now, Plan: &plan.Plan{ID: id, Steps: []plan.Step{step(1, 1000)}}})
+		ord := starts(cel.Plan(now))[0]
+		number++
+		end := agent.End{Number: number, Task: ord.Task, Run: ord.Run, How: agent.EndedDone}
+		cel.Report(now, now, ord.Target.VM, agent.Report{Born: 1, Ended: []agent.End{end}})
+	}
+}
