--- a/internal/schedule/cell/cell.go
+++ b/internal/schedule/cell/cell.go
@@ -22,9 +22,6 @@
 	clockDrift = 0.02
 	// leaseSlack covers the way of a call to the VM and back.
 	leaseSlack = 500 * time.Millisecond
-	// ownerReach is how long an owner that lost the store may go on renewing.
-	// service.ownerLapse is derived from the same figure.
-	ownerReach = OwnerReach
 	// orderRetry is the pause before a stop without an answer is sent again.
 	orderRetry = time.Second
 	// unwellPause keeps new work from a VM that refused an order as unwell.
@@ -37,8 +34,9 @@
 )
 
 // OwnerReach is how long an owner whose membership is not confirmed any more may
-// go on starting and renewing. A new owner waits as long before it takes the
-// tasks of VMs that it cannot reach for ended.
+// go on starting and renewing: longer than the store's usual outages of 4 to 9 s.
+// A new owner waits as long before it takes the tasks of VMs that it cannot reach
+// for ended.
 const OwnerReach = 12 * time.Second
 
 // Config holds what a Cell needs for its whole life.
@@ -74,9 +72,10 @@
 // New returns a Cell at the start of its owner's term.
 func New(cfg Config) *Cell {
 	return &Cell{
-		cfg: cfg, vms: map[string]*machine{}, jobs: map[string]*entry{}, open: map[*stage]bool{}, models: map[string]*runtime.Model{}, dirty: map[string]bool{},
+		cfg: cfg, settled: cfg.IsFirst,
+		vms: map[string]*machine{}, jobs: map[string]*entry{}, open: map[*stage]bool{},
+		models: map[string]*runtime.Model{}, dirty: map[string]bool{},
 		newVMs: map[string]bool{}, goneVMs: map[string]bool{}, over: map[string]int64{},
-		settled: cfg.IsFirst,
 	}
 }
 
--- a/internal/schedule/cell/report.go
+++ b/internal/schedule/cell/report.go
@@ -78,7 +78,7 @@
 func (cel *Cell) RestoreHost(now time.Time, hst host.Host) {
 	mac := newMachine(hst)
 	mac.isOld, mac.isRecorded = true, true
-	mac.leaseEnd = now.Add(ownerReach + leaseBound(cel.cfg.LeaseMax))
+	mac.leaseEnd = now.Add(OwnerReach + leaseBound(cel.cfg.LeaseMax))
 	cel.vms[hst.ID] = mac
 }
 
--- a/internal/schedule/owner/duties.go
+++ b/internal/schedule/owner/duties.go
@@ -140,7 +140,7 @@
 		own.mu.Lock()
 		tgt, hld, ok := own.cel.Hold(now, id)
 		if !ok {
-			delete(own.holders, id)
+			delete(own.looked, id)
 		}
 		own.mu.Unlock()
 		if !ok {
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -62,7 +62,7 @@
 	fence   int64
 	mu      sync.Mutex
 	cel     *cell.Cell
-	holders map[string]chan struct{}
+	looked  map[string]bool // VMs that a duty looks at
 	pending map[string]*submission
 	queued  []*submission // not yet part of an append
 	waiters []chan struct{}
@@ -95,7 +95,7 @@
 		return nil, err
 	}
 	own := &Owner{
-		cfg: cfg, fence: clm.Fence(), holders: map[string]chan struct{}{}, pending: map[string]*submission{},
+		cfg: cfg, fence: clm.Fence(), looked: map[string]bool{}, pending: map[string]*submission{},
 		kick: make(chan struct{}, 1), flush: make(chan struct{}, 1),
 		quit: make(chan struct{}), lost: make(chan struct{}), done: make(chan struct{}),
 	}
@@ -194,8 +194,8 @@
 
 // holdVM starts the duty that looks at a VM.
 func (own *Owner) holdVM(id string) {
-	if own.holders[id] == nil && !own.isEnding() {
-		own.holders[id] = make(chan struct{})
+	if !own.looked[id] && !own.isEnding() {
+		own.looked[id] = true
 		own.group.Go(func() { own.holdLoop(id) })
 	}
 }
