--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	$(GO) test -timeout 5m $(TEST_FLAGS) ./...
 
 race:
-	$(GO) test -race -timeout 5m ./internal/request/... ./internal/state/... ./internal/kernel/... ./internal/event/... ./test/path ./test/history
+	$(GO) test -race -timeout 5m ./internal/request/... ./internal/state/... ./internal/kernel/... ./internal/event/... ./internal/schedule/... ./test/path ./test/history
 
 lint:
 	test -z "$$(gofmt -l .)"
@@ -24,6 +24,10 @@
 	$(GO) test -run xxx -fuzz FuzzDecode -fuzztime $(FUZZ_TIME) ./internal/state/codec
 	$(GO) test -run xxx -fuzz FuzzSettings -fuzztime $(FUZZ_TIME) ./internal/settings/entry
 	$(GO) test -run xxx -fuzz FuzzCheckpoint -fuzztime $(FUZZ_TIME) ./internal/state/checkpoint
+	$(GO) test -run xxx -fuzz FuzzDecode -fuzztime $(FUZZ_TIME) ./internal/schedule/ledger
+	$(GO) test -run xxx -fuzz FuzzRecords -fuzztime $(FUZZ_TIME) ./platform/feed
+	$(GO) test -run xxx -fuzz FuzzDecode -fuzztime $(FUZZ_TIME) ./platform/boot
+	$(GO) test -run xxx -fuzz FuzzSplitKeyed -fuzztime $(FUZZ_TIME) ./platform/store
 
 model:
 	script/model
