--- /dev/null
+++ b/internal/schedule/cell/miss_test.go
@@ -0,0 +1,33 @@
+package cell_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"daisywheel/internal/job/plan"
+	"daisywheel/internal/schedule/ledger"
+)
+
+// A surge of jobs that are too large for the room that is left must not keep
+// smaller ones, or ones that need another kind of room, from starting.
+func TestSmallWorkStartsBesideLargeThatWaits(t *testing.T) {
+	cel, _ := newCell(true)
+	settle(start, cel, vm("a", 1))
+	submit := func(num int, need plan.Demand) {
+		cel.Accept(start, ledger.Job{Queue: "q", Accepted: start, Plan: &plan.Plan{
+			ID:    fmt.Sprintf("%016x", num),
+			Steps: []plan.Step{{Count: 1, Demand: need, Estimate: time.Second}},
+		}})
+	}
+	for num := range 20 {
+		submit(num, plan.Demand{MilliCores: 3000, MemoryMB: 100})
+	}
+	submit(20, plan.Demand{MilliCores: 900, MemoryMB: 3000})
+	submit(21, plan.Demand{MilliCores: 3500, MemoryMB: 10})
+	submit(22, plan.Demand{MilliCores: 100, MemoryMB: 900})
+	got := starts(cel.Plan(start))
+	if len(got) != 3 {
+		t.Fatalf("%d starts, want one large job and the two that fit beside it", len(got))
+	}
+}
--- /dev/null
+++ b/internal/schedule/group/group_test.go
@@ -0,0 +1,53 @@
+package group_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"daisywheel/internal/schedule/archive"
+	"daisywheel/internal/schedule/group"
+)
+
+func TestGradesDouble(t *testing.T) {
+	for _, tst := range []struct{ milliCores, lower int }{{192, 120}, {400, 192}, {800, 400}, {120, 0}} {
+		if group.GradeOf(tst.milliCores) <= group.GradeOf(tst.lower) {
+			t.Errorf("%d thousandths of a core rank no higher than %d", tst.milliCores, tst.lower)
+		}
+	}
+	if group.GradeOf(100000) != group.GradeOf(4000) || group.GradeOf(-1) != group.GradeOf(0) {
+		t.Error("sizes beyond the bounds are told apart")
+	}
+}
+
+func TestOnlyHigherGradesOutrank(t *testing.T) {
+	grade := group.GradeOf(400)
+	asked := map[string]bool{}
+	arc := archive.Client{Holders: func(_ context.Context, name string) ([]string, error) {
+		asked[name] = true
+		return nil, nil
+	}}
+	if isOutranked, err := group.IsOutranked(t.Context(), arc, grade); isOutranked || err != nil {
+		t.Errorf("outranked by nobody: %v %v", isOutranked, err)
+	}
+	if len(asked) == 0 {
+		t.Error("no higher grade was looked at")
+	}
+	arc.Holders = func(_ context.Context, name string) ([]string, error) {
+		if asked[name] {
+			return []string{"large"}, nil
+		}
+		return nil, nil
+	}
+	if isOutranked, err := group.IsOutranked(t.Context(), arc, grade); !isOutranked || err != nil {
+		t.Errorf("not outranked by a higher grade: %v %v", isOutranked, err)
+	}
+	if isOutranked, _ := group.IsOutranked(t.Context(), arc, group.GradeOf(1<<20)); isOutranked {
+		t.Error("the highest grade is outranked")
+	}
+	arc.Holders = func(context.Context, string) ([]string, error) { return nil, errors.New("no answer") }
+	if _, err := group.IsOutranked(t.Context(), arc, grade); err == nil {
+		t.Error("an unanswered question passes for an answer")
+	}
+}
--- a/internal/schedule/service/service_test.go
+++ b/internal/schedule/service/service_test.go
@@ -34,9 +34,14 @@
 type site struct {
 	t       *testing.T
 	fleet   *vmfleet.Fleet
+	store   *logstore.Store
 	entries []*service.Service
 }
 
+// coresOfEntry is what an entry may use where a test does not say otherwise, in
+// thousandths of a core.
+const coresOfEntry = 400
+
 func startSite(t *testing.T, entries int) *site {
 	t.Helper()
 	var hosts []host.Host
@@ -49,14 +54,14 @@
 	ste := &site{t: t, fleet: vmfleet.New(time.Now(), vmfleet.Config{
 		Demand: demand, RunTime: func(task.ID) time.Duration { return 50 * time.Millisecond },
 	}, hosts)}
-	store := logstore.New(logstore.Config{})
-	for i := range entries {
-		ste.entries = append(ste.entries, ste.startEntry(fmt.Sprintf("entry-%d", i), store))
+	ste.store = logstore.New(logstore.Config{})
+	for range entries {
+		ste.startEntry(coresOfEntry)
 	}
 	return ste
 }
 
-func (ste *site) startEntry(name string, store *logstore.Store) *service.Service {
+func (ste *site) startEntry(milliCores int) *service.Service {
 	ste.t.Helper()
 	lsn, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -67,16 +72,36 @@
 		ste.t.Fatal(err)
 	}
 	svc, err := service.Start(time.Now(), service.Config{
-		Name: name, PeerAddress: address, Partitions: 16, LeaseMax: 6 * time.Second, StatusKept: time.Minute,
-		Archive: store.Client(), Directory: ste.directory(), Agent: ste.fleet.Agent(),
+		Name: fmt.Sprintf("entry-%d", len(ste.entries)), PeerAddress: address, Partitions: 16, MilliCores: milliCores,
+		LeaseMax: 6 * time.Second, StatusKept: time.Minute, Archive: ste.store.Client(), Directory: ste.directory(), Agent: ste.fleet.Agent(),
 		Journal: journal.New(journal.Config{}), Metrics: metrics.NewSet(),
 	})
 	if err != nil {
 		ste.t.Fatal(err)
 	}
+	ste.entries = append(ste.entries, svc)
 	return svc
 }
 
+// stop ends all entries.
+func (ste *site) stop() {
+	for _, svc := range ste.entries {
+		svc.SetStopping()
+		svc.Resign()
+		svc.Stop()
+	}
+}
+
+// awaitOwner waits until the entry owns the pool.
+func (ste *site) awaitOwner(svc *service.Service) {
+	ste.t.Helper()
+	for limit := time.Now().Add(patience); svc.Owner(pool) == nil; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(limit) {
+			ste.t.Fatal("the entry does not own the pool")
+		}
+	}
+}
+
 func (ste *site) directory() directory.Client {
 	tab := queue.NewTable(1, []queue.Queue{passes}, []queue.Service{{Name: pool}})
 	return directory.Client{
@@ -215,3 +240,21 @@
 		svc.Stop()
 	}
 }
+
+func TestPoolGoesToTheLargestEntry(t *testing.T) {
+	ste := startSite(t, 0)
+	small := ste.startEntry(192)
+	ste.submit(small, job(1))
+	large := ste.startEntry(800)
+	ste.awaitOwner(large)
+	ste.submit(small, job(2))
+	ste.await(small, job(1).ID)
+	ste.await(large, job(2).ID)
+	large.SetStopping()
+	large.Resign()
+	ste.submit(small, job(3)) // a small owner is better than none
+	ste.await(small, job(3).ID)
+	ste.awaitOwner(small)
+	ste.stop()
+	ste.checkPromises()
+}
