--- a/internal/schedule/service/fleet.go
+++ b/internal/schedule/service/fleet.go
@@ -112,7 +112,7 @@
 
 func (svc *Service) tellSteward(now time.Time, pol balance.Pool) (wishForm, error) {
 	svc.mu.Lock()
-	stw, address := svc.steward, svc.fleetAt
+	stw, address := svc.liveSteward(now), svc.fleetAt
 	svc.mu.Unlock()
 	if stw != nil {
 		leaving, ended := stw.Report(now, pol)
@@ -139,18 +139,29 @@
 	return wsh, err
 }
 
+// liveSteward returns the steward of this entry while its membership is confirmed.
+// Without the store it can order nothing, and another may have taken over; reports
+// that go on to it would keep the other one from knowing the pools. The caller
+// holds the lock.
+func (svc *Service) liveSteward(now time.Time) *steward.Steward {
+	if now.Sub(svc.joinedAt) >= aliveWithin {
+		return nil
+	}
+	return svc.steward
+}
+
 func (svc *Service) serveReport(_ context.Context, params json.RawMessage) (any, error) {
 	var frm poolForm
 	if err := json.Unmarshal(params, &frm); err != nil {
 		return nil, fault.Wrap(err, code.BadRequest, "report of a pool")
 	}
+	now := time.Now()
 	svc.mu.Lock()
-	stw := svc.steward
+	stw := svc.liveSteward(now)
 	svc.mu.Unlock()
 	if stw == nil {
 		return nil, fault.New(code.NotReady, "this entry is not the steward of the fleet")
 	}
-	now := time.Now()
 	leaving, ended := stw.Report(now, poolOf(now, frm))
 	return wishForm{Leaving: leaving, Ended: ended}, nil
 }
--- a/internal/schedule/service/service_test.go
+++ b/internal/schedule/service/service_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 
 	"daisywheel/internal/event/journal"
 	"daisywheel/internal/fleet/directory"
@@ -15,6 +17,8 @@
 	"daisywheel/internal/fleet/queue"
 	"daisywheel/internal/job/plan"
 	"daisywheel/internal/job/task"
+	"daisywheel/internal/peer/link"
+	"daisywheel/internal/schedule/archive"
 	"daisywheel/internal/schedule/ledger"
 	"daisywheel/internal/schedule/service"
 	"daisywheel/internal/standin/logstore"
@@ -36,6 +40,9 @@
 	fleet   *vmfleet.Fleet
 	store   *logstore.Store
 	entries []*service.Service
+	// addresses are the entries' peer addresses.
+	addresses []string
+	cut       atomic.Int32 // entry whose membership is not confirmed any more
 }
 
 // coresOfEntry is what an entry may use where a test does not say otherwise, in
@@ -55,6 +62,7 @@
 		Demand: demand, RunTime: func(task.ID) time.Duration { return 50 * time.Millisecond },
 	}, hosts)}
 	ste.store = logstore.New(logstore.Config{})
+	ste.cut.Store(nobody)
 	for range entries {
 		ste.startEntry(coresOfEntry)
 	}
@@ -73,16 +81,33 @@
 	}
 	svc, err := service.Start(time.Now(), service.Config{
 		Name: fmt.Sprintf("entry-%d", len(ste.entries)), PeerAddress: address, Partitions: 16, MilliCores: milliCores,
-		LeaseMax: 6 * time.Second, StatusKept: time.Minute, Archive: ste.store.Client(), Directory: ste.directory(), Agent: ste.fleet.Agent(),
+		LeaseMax: 6 * time.Second, StatusKept: time.Minute, Archive: ste.archive(len(ste.entries)), Directory: ste.directory(), Agent: ste.fleet.Agent(),
 		Journal: journal.New(journal.Config{}), Metrics: metrics.NewSet(),
 	})
 	if err != nil {
 		ste.t.Fatal(err)
 	}
 	ste.entries = append(ste.entries, svc)
+	ste.addresses = append(ste.addresses, address)
 	return svc
 }
 
+// archive returns the store as the entry reaches it.
+func (ste *site) archive(entry int) archive.Client {
+	arc := ste.store.Client()
+	join := arc.Join
+	arc.Join = func(ctx context.Context, mbr archive.Member) (archive.Share, error) {
+		if ste.cut.Load() == int32(entry) {
+			return archive.Share{}, errors.New("no path to the store")
+		}
+		return join(ctx, mbr)
+	}
+	return arc
+}
+
+// nobody is cut off from the store.
+const nobody = -1
+
 // stop ends all entries.
 func (ste *site) stop() {
 	for _, svc := range ste.entries {
@@ -258,3 +283,30 @@
 	ste.stop()
 	ste.checkPromises()
 }
+
+// A steward that may have been replaced must not go on taking reports, or its
+// successor never learns how the pools stand.
+func TestStewardWithoutStoreTakesNoReports(t *testing.T) {
+	ste := startSite(t, 1)
+	ste.awaitOwner(ste.entries[0])
+	lnk := link.New(link.Config{})
+	defer lnk.Close()
+	report := func() error {
+		var answer any
+		return lnk.Call(t.Context(), ste.addresses[0], "fleet.report", struct {
+			Name string `json:"name"`
+		}{pool}, &answer)
+	}
+	for limit := time.Now().Add(patience); report() != nil; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("no report is taken: %v", report())
+		}
+	}
+	ste.cut.Store(0)
+	for limit := time.Now().Add(4 * time.Second); report() == nil; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatal("reports are still taken long after the membership was last confirmed")
+		}
+	}
+	ste.stop()
+}
