Keep holders of orders apart on each machine alone; notice dead members sooner

Change: the machines ordered lately are recorded with the proof of each order, so a new steward leaves just these alone, and for the lease and the second in which the one before may still send. Memberships lapse after 1.2 s (2 s), owners start after 1.1 s. The steward has tests now; the first fails on the code before.

--- a/internal/schedule/group/group.go
+++ b/internal/schedule/group/group.go
@@ -25,12 +25,13 @@
 
 // Times of a membership.
 const (
-	// ttl is how long a silent member keeps its partitions: three joins.
-	ttl = 2 * time.Second
+	// ttl is how long a silent member keeps its partitions: three joins. Callers of a
+	// pool whose owner is gone wait as long, so it is near the least that is allowed.
+	ttl = 1200 * time.Millisecond
 	// joinEach is the pause between joins.
-	joinEach = 600 * time.Millisecond
-	// joinTimeout bounds one join.
-	joinTimeout = 900 * time.Millisecond
+	joinEach = 400 * time.Millisecond
+	// joinTimeout bounds one join: its usual 4 ms, 150 times over.
+	joinTimeout = 600 * time.Millisecond
 	// leaveTimeout bounds the goodbye of a process that stops.
 	leaveTimeout = 500 * time.Millisecond
 )
--- a/internal/schedule/service/probe.go
+++ b/internal/schedule/service/probe.go
@@ -18,8 +18,9 @@
 	// probeTimeout bounds the question to an owner: 100 times the way between
 	// availability zones and back, and shorter than a membership.
 	probeTimeout = 400 * time.Millisecond
-	// aliveWithin is how old an owner's membership may be: two joins.
-	aliveWithin = 1500 * time.Millisecond
+	// aliveWithin is how old an owner's membership may be: nearly as old as one that
+	// lapses, so that whoever gets its partitions then finds the owner gone.
+	aliveWithin = 1100 * time.Millisecond
 )
 
 // aliveForm is the question whether the asked entry owns something that an entry
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -46,17 +46,17 @@
 	hostsEach    = 250 * time.Millisecond
 	hostsTimeout = 900 * time.Millisecond
 	// startDelay lets the members that start together find each other before
-	// pools are claimed.
-	startDelay = 1500 * time.Millisecond
+	// pools are claimed: machines start within 0.3 s, and then two joins.
+	startDelay = 1100 * time.Millisecond
 	// reopenAfter is the pause before a pool that was lost or not opened is
 	// claimed again.
-	reopenAfter = 700 * time.Millisecond
+	reopenAfter = 400 * time.Millisecond
 	openTimeout = 5 * time.Second
 	// rejoinDelay is how long an entry that comes back from an outage leaves pools
-	// to their owners: two joins.
-	rejoinDelay = 1500 * time.Millisecond
+	// to their owners: three joins.
+	rejoinDelay = 1200 * time.Millisecond
 	// leaseLength is how long tasks outlive the last word of an owner: longer than
-	// a change of owner takes (a membership of 2 s, a claim and a look), and not
+	// a change of owner takes (a membership of 1.2 s, a claim and a look), and not
 	// much longer, as the tasks of a dead VM wait as long.
 	leaseLength = 5 * time.Second
 )
@@ -153,7 +153,7 @@
 }
 
 // unreadyAfter is how long the membership may be unconfirmed before the balancer
-// is told to go elsewhere: three joins.
+// is told to go elsewhere: five joins.
 const unreadyAfter = 2 * time.Second
 
 // Owner returns the owner of the pool if it is in this process.
--- a/internal/schedule/steward/moves.go
+++ b/internal/schedule/steward/moves.go
@@ -47,7 +47,7 @@
 		}
 		pol := balance.Pool{Name: svc.Name, IsStandby: true}
 		for name, mac := range stw.machines {
-			if mac.Pool == svc.Name && mac.IsUp && stw.tasks[name] == nil {
+			if mac.Pool == svc.Name && mac.IsUp && stw.tasks[name] == nil && !stw.heldBack[name] {
 				pol.VMs = append(pol.VMs, balance.VM{ID: name, MilliCores: mac.MilliCores, IsUsable: true})
 				names[name] = name
 			}
@@ -72,7 +72,7 @@
 		pol.VMs = slices.Clone(pol.VMs)
 		for i := range pol.VMs {
 			mac, ok := stw.machines[names[pol.VMs[i].ID]]
-			if !ok || stw.tasks[mac.Name] != nil {
+			if !ok || stw.tasks[mac.Name] != nil || stw.heldBack[mac.Name] {
 				pol.VMs[i].IsUsable = false
 			}
 		}
--- a/internal/schedule/steward/order.go
+++ b/internal/schedule/steward/order.go
@@ -58,6 +58,12 @@
 		return errors.Wrap(err, "waves")
 	}
 	for _, rec := range recs {
+		if rec.Key == recentKey {
+			if err := stw.holdBack(rec.Value); err != nil {
+				return err
+			}
+			continue
+		}
 		number, machine, ok := parseKey(rec.Key)
 		if !ok || len(rec.Value) == 0 {
 			continue
@@ -123,7 +129,7 @@
 		var cands []upkeep.Candidate
 		for _, name := range wav.request.Machines {
 			mac, ok := stw.machines[name]
-			if !ok || !mac.IsUp || wav.done[name] || stw.tasks[name] != nil || now.Before(wav.stays[name]) {
+			if !ok || !mac.IsUp || stw.heldBack[name] || wav.done[name] || stw.tasks[name] != nil || now.Before(wav.stays[name]) {
 				continue
 			}
 			cnd := load[mac.VM]
@@ -213,7 +219,8 @@
 		recs = append(recs, archive.Record{Key: upkeepKey(don.wave, don.machine), Value: data})
 	}
 	stw.unrecorded = nil
-	return recs, nil
+	rec, err := stw.recentRecord(time.Now(), ready)
+	return append(recs, rec), err
 }
 
 // sinceBoot returns the time since the machine started, with the time that it
--- a/internal/schedule/steward/steward.go
+++ b/internal/schedule/steward/steward.go
@@ -76,14 +76,18 @@
 	seq      int64
 	// unsettled are records of an append without an answer.
 	unsettled []archive.Record
-	mu        sync.Mutex
-	reports   map[string]report
-	arrivals  *arrivals.Arrivals
-	missing   map[string]int               // silent VMs that the latest lists do not show
-	machines  map[string]directory.Machine // by name
-	listedAt  time.Time
-	tasks     map[string]*errand // by machine
-	waves     map[int64]*wave
+	// recent are the machines ordered lately, with the time of the last order, and
+	// heldBack those that the steward before may have ordered lately.
+	recent   map[string]time.Time
+	heldBack map[string]bool
+	mu       sync.Mutex
+	reports  map[string]report
+	arrivals *arrivals.Arrivals
+	missing  map[string]int               // silent VMs that the latest lists do not show
+	machines map[string]directory.Machine // by name
+	listedAt time.Time
+	tasks    map[string]*errand // by machine
+	waves    map[int64]*wave
 	// unrecorded is maintenance that is done and not stored as done.
 	unrecorded []*errand
 	loop       *part.Part
@@ -121,10 +125,12 @@
 	stw := &Steward{
 		cfg: cfg, clm: clm, since: now, reports: map[string]report{}, arrivals: arrivals.New(), machines: map[string]directory.Machine{},
 		tasks: map[string]*errand{}, waves: map[int64]*wave{}, lost: make(chan struct{}),
+		recent: map[string]time.Time{}, heldBack: map[string]bool{},
 	}
 	if err := stw.append(ctx, nil); err != nil {
 		return nil, err
 	}
+	stw.since = time.Now() // from here on the steward before can prove nothing
 	if err := stw.restore(ctx, now); err != nil {
 		return nil, err
 	}
@@ -222,10 +228,8 @@
 // step is one round of decisions.
 func (stw *Steward) step(now time.Time) {
 	stw.list(now)
-	if now.Sub(stw.since) < stw.cfg.OrderLease {
-		return // the holder before may still have orders on their way
-	}
 	stw.mu.Lock()
+	stw.dropHeldBack(now)
 	stw.expire(now)
 	stw.planWaves(now)
 	stw.planMoves(now)
@@ -339,7 +343,7 @@
 	for _, ern := range stw.tasks {
 		mac, ok := stw.machines[ern.machine]
 		isEmpty := empty[ern.vm] || ern.isOrdered || ern.isRestored && !mac.IsUp || stw.isStandby(mac.Pool)
-		if !ok || !isEmpty || ern.isDone || ern.isBusy || now.Sub(ern.orderedAt) < orderRetry {
+		if !ok || stw.heldBack[ern.machine] || !isEmpty || ern.isDone || ern.isBusy || now.Sub(ern.orderedAt) < orderRetry {
 			continue
 		}
 		ern.isBusy = true
--- /dev/null
+++ b/internal/schedule/steward/steward_test.go
@@ -0,0 +1,210 @@
+package steward_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"daisywheel/internal/event/journal"
+	"daisywheel/internal/fleet/balance"
+	"daisywheel/internal/fleet/directory"
+	"daisywheel/internal/fleet/queue"
+	"daisywheel/internal/fleet/upkeep"
+	"daisywheel/internal/schedule/steward"
+	"daisywheel/internal/standin/logstore"
+)
+
+const orderLease = 3 * time.Second
+
+// order is one order as the platform saw it.
+type order struct {
+	at      time.Time
+	machine string
+	holder  string
+	fence   int64
+}
+
+// platform stands in for the list of machines and takes orders for them. A machine
+// that is ordered is away for a while and comes back in another life.
+type platform struct {
+	mu     sync.Mutex
+	pools  map[string]string // by machine
+	lives  map[string]int
+	backAt map[string]time.Time
+	orders []order
+}
+
+const awayFor = 1500 * time.Millisecond
+
+func newPlatform(pools ...string) *platform {
+	plt := &platform{pools: map[string]string{}, lives: map[string]int{}, backAt: map[string]time.Time{}}
+	for _, pool := range pools {
+		for i := range 8 {
+			plt.pools[fmt.Sprintf("%s-%d", pool, i)] = pool
+		}
+	}
+	return plt
+}
+
+func (plt *platform) vm(machine string) string {
+	return fmt.Sprintf("vm-%s-%d", machine, plt.lives[machine])
+}
+
+func (plt *platform) list(context.Context) ([]directory.Machine, error) {
+	plt.mu.Lock()
+	defer plt.mu.Unlock()
+	var all []directory.Machine
+	for name, pool := range plt.pools {
+		mac := directory.Machine{Name: name, Pool: pool, MilliCores: 16000}
+		if mac.IsUp = !time.Now().Before(plt.backAt[name]); mac.IsUp {
+			mac.VM = plt.vm(name)
+		}
+		all = append(all, mac)
+	}
+	return all, nil
+}
+
+func (plt *platform) take(machine, pool, holder string, fence int64) (directory.Ordered, error) {
+	plt.mu.Lock()
+	defer plt.mu.Unlock()
+	now := time.Now()
+	plt.orders = append(plt.orders, order{now, machine, holder, fence})
+	plt.pools[machine] = pool
+	plt.lives[machine]++
+	plt.backAt[machine] = now.Add(awayFor)
+	return directory.OrderDone, nil
+}
+
+func (plt *platform) directory() directory.Client {
+	return directory.Client{
+		Machines: plt.list,
+		Move: func(_ context.Context, machine, pool, holder string, fence int64) (directory.Ordered, error) {
+			return plt.take(machine, pool, holder, fence)
+		},
+		Maintain: func(_ context.Context, machine string, _ int64, holder string, fence int64) (directory.Ordered, error) {
+			plt.mu.Lock()
+			pool := plt.pools[machine]
+			plt.mu.Unlock()
+			return plt.take(machine, pool, holder, fence)
+		},
+		ReportWave: func(context.Context, int64, bool) error { return nil },
+	}
+}
+
+// report is what a pool's owner says, whose VMs are idle and empty.
+func (plt *platform) report(pool string, wanted int64) balance.Pool {
+	plt.mu.Lock()
+	defer plt.mu.Unlock()
+	pol := balance.Pool{Name: pool, Wanted: wanted}
+	for name, at := range plt.pools {
+		if at == pool && !time.Now().Before(plt.backAt[name]) {
+			pol.VMs = append(pol.VMs, balance.VM{ID: plt.vm(name), MilliCores: 16000, IsUsable: true, IsLeaving: false})
+		}
+	}
+	return pol
+}
+
+// tell reports both pools, with the VMs that the steward wants emptied as empty.
+func (plt *platform) tell(stw *steward.Steward, gateWants int64) {
+	now := time.Now()
+	for _, pol := range []balance.Pool{plt.report("gate", gateWants), plt.report("haul", 0)} {
+		leaving, _ := stw.Report(now, pol)
+		for i := range pol.VMs {
+			for _, vm := range leaving {
+				pol.VMs[i].IsLeaving = pol.VMs[i].IsLeaving || vm == pol.VMs[i].ID
+			}
+		}
+		stw.Report(now, pol)
+	}
+}
+
+func open(t *testing.T, store *logstore.Store, plt *platform, name string) *steward.Steward {
+	t.Helper()
+	tab := queue.NewTable(1, nil, []queue.Service{{Name: "gate"}, {Name: "haul"}})
+	stw, err := steward.Open(t.Context(), time.Now(), steward.Config{
+		Holder: name, Address: name, OrderLease: orderLease, Archive: store.Client(), Directory: plt.directory(),
+		Journal: journal.New(journal.Config{}), Table: func() *queue.Table { return tab },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return stw
+}
+
+func (plt *platform) run(stw *steward.Steward, gateWants int64, dur time.Duration) {
+	for limit := time.Now().Add(dur); time.Now().Before(limit); time.Sleep(200 * time.Millisecond) {
+		plt.tell(stw, gateWants)
+	}
+}
+
+// Another steward may order machines at once, but not those that the one before has
+// ordered within the lease.
+func TestHoldersKeepApartOnEachMachineAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newPlatform("gate", "haul")
+		first := open(t, store, plt, "first")
+		plt.run(first, 10*16000, 2*time.Second)
+		early := len(plt.orders)
+		if early == 0 {
+			t.Fatal("the first steward has moved nothing")
+		}
+		second := open(t, store, plt, "second")
+		changed := time.Now()
+		second.Request(changed, upkeep.Wave{Number: 1, Machines: []string{"gate-0", "gate-1", plt.orders[0].machine}, Cap: 3, Within: time.Minute})
+		plt.run(second, 0, 8*time.Second)
+		first.Close()
+		second.Close()
+		lastOf := map[string]order{}
+		var soonest time.Duration
+		for _, ord := range plt.orders {
+			last, isKnown := lastOf[ord.machine]
+			if isKnown && last.holder != ord.holder && ord.at.Sub(last.at) < orderLease {
+				t.Errorf("%s: %s orders %s after %s", ord.machine, ord.holder, ord.at.Sub(last.at), last.holder)
+			}
+			if isKnown && ord.fence < last.fence {
+				t.Errorf("%s: fence %d after %d", ord.machine, ord.fence, last.fence)
+			}
+			lastOf[ord.machine] = ord
+			if ord.holder == "second" && soonest == 0 {
+				soonest = ord.at.Sub(changed)
+			}
+		}
+		if len(plt.orders) < early+3 {
+			t.Errorf("%d orders of the wave, want 3", len(plt.orders)-early)
+		}
+		if soonest > time.Second {
+			t.Errorf("the second steward's first order comes after %s, though no one else orders that machine", soonest)
+		}
+	})
+}
+
+func TestWaveKeepsItsCap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newPlatform("gate", "haul")
+		stw := open(t, store, plt, "first")
+		var all []string
+		for name := range plt.pools {
+			all = append(all, name)
+		}
+		stw.Request(time.Now(), upkeep.Wave{Number: 7, Machines: all, Cap: 2, Within: time.Minute})
+		plt.run(stw, 0, 40*time.Second)
+		stw.Close()
+		if len(plt.orders) != len(all) {
+			t.Errorf("%d orders for %d machines", len(plt.orders), len(all))
+		}
+		for i, ord := range plt.orders {
+			down := 0
+			for _, other := range plt.orders[:i] {
+				if ord.at.Sub(other.at) < awayFor {
+					down++
+				}
+			}
+			if down >= 2 {
+				t.Errorf("%s is taken down while %d others are", ord.machine, down)
+			}
+		}
+	})
+}
