--- a/internal/schedule/cell/cell.go
+++ b/internal/schedule/cell/cell.go
@@ -59,8 +59,11 @@
 	jobs    map[string]*entry
 	timed   map[string]*entry // with occurrences that are not due yet
 	open    map[*stage]bool
-	halting map[*work]bool            // to be stopped
-	usable  []*machine                // VMs that may take tasks, as of the plan in the making
+	halting map[*work]bool // to be stopped
+	// usable are the VMs that may take tasks, and free their room by zone in
+	// thousandths of a core, as of the plan in the making.
+	usable  []*machine
+	free    map[string]int64
 	models  map[string]*runtime.Model // by queue
 	dirty   map[string]bool
 	newVMs  map[string]bool  // to be recorded
@@ -79,7 +82,7 @@
 	return &Cell{
 		cfg: cfg, settled: cfg.IsFirst,
 		vms: map[string]*machine{}, jobs: map[string]*entry{}, timed: map[string]*entry{}, open: map[*stage]bool{},
-		halting: map[*work]bool{}, models: map[string]*runtime.Model{}, dirty: map[string]bool{},
+		halting: map[*work]bool{}, free: map[string]int64{}, models: map[string]*runtime.Model{}, dirty: map[string]bool{},
 		newVMs: map[string]bool{}, goneVMs: map[string]bool{}, over: map[string]int64{},
 	}
 }
--- a/internal/schedule/cell/place.go
+++ b/internal/schedule/cell/place.go
@@ -47,10 +47,12 @@
 // findUsable notes the VMs that may take tasks now.
 func (cel *Cell) findUsable(now time.Time) {
 	cel.usable = cel.usable[:0]
+	clear(cel.free)
 	fresh := now.Add(-staleAfter)
 	for _, mac := range cel.machines() {
 		if mac.isUsable() && !mac.heardAt.Before(fresh) && !now.Before(mac.quietUntil) {
 			cel.usable = append(cel.usable, mac)
+			cel.free[mac.host.Zone] += mac.room().MilliCores
 		}
 	}
 }
@@ -213,13 +215,14 @@
 	var best *machine
 	var bestCost float64
 	need := counted(stg.step)
+	home := cel.homeOf(stg.job)
 	for _, mac := range cel.usable {
 		if !need.Fits(mac.room()) || !mac.mayTake(stg) {
 			continue
 		}
 		cost := fit.Score(stg.step, fit.Candidate{
 			Room: mac.room(), Capacity: mac.host.Capacity, IsNear: mac.host.Has(stg.step.Rack),
-			IsAvoided: wrk.avoid == mac.host.ID, Serving: mac.serving, Helpers: mac.helpers, Same: mac.perStage[stg],
+			IsAvoided: wrk.avoid == mac.host.ID, IsHome: mac.host.Zone == home, Serving: mac.serving, Helpers: mac.helpers, Same: mac.perStage[stg],
 		})
 		if best == nil || cost < bestCost {
 			best, bestCost = mac, cost
@@ -234,6 +237,21 @@
 		!mac.host.IsDraining && len(mac.strays) == 0
 }
 
+// homeOf returns the zone in which tasks of the job should start: where its others
+// did, or the one with the most room.
+func (cel *Cell) homeOf(ent *entry) string {
+	if ent.zone != "" {
+		return ent.zone
+	}
+	home, most := "", int64(0)
+	for zone, free := range cel.free {
+		if free > most || free == most && zone < home {
+			home, most = zone, free
+		}
+	}
+	return home
+}
+
 // mayTake reports whether the stage's restrictions allow one more of its tasks on
 // the VM.
 func (mac *machine) mayTake(stg *stage) bool {
@@ -250,6 +268,8 @@
 	wrk.step.startedAt = now
 	mac.add(wrk)
 	ent := wrk.step.job
+	ent.zone = mac.host.Zone
+	cel.free[ent.zone] -= counted(wrk.step.step).MilliCores
 	if !ent.isBegun {
 		ent.isBegun = true
 		cel.cfg.Event(now, "jobBegun", slog.String("job", ent.plan.ID), slog.String("vm", mac.host.ID),
--- a/internal/schedule/cell/state.go
+++ b/internal/schedule/cell/state.go
@@ -79,8 +79,9 @@
 	remaining  time.Duration
 	isOld      bool // stored before this owner's term
 	isDirty    bool
-	isBegun    bool // a task has been started
-	held       int  // works on VMs
+	isBegun    bool   // a task has been started
+	held       int    // works on VMs
+	zone       string // of the latest task started
 	// doneRounds are the occurrences that are done, for the record.
 	doneRounds []int
 }
