--- /dev/null
+++ b/internal/schedule/cell/leaving_test.go
@@ -0,0 +1,32 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"daisywheel/internal/fleet/agent"
+	"daisywheel/internal/schedule/cell"
+)
+
+// A pool that has lent its VMs has no other one for a lasting task. Its VM must be
+// emptied all the same, or the maintenance wave is never done.
+func TestLastingTaskLeavesThoughThereIsNoOtherVM(t *testing.T) {
+	cel, _ := newCell(true)
+	settle(start, cel, vm("a", 1), vm("b", 1))
+	stp := step(2, 100)
+	stp.IsLasting, stp.MaxPerVM, stp.MaxAway = true, 1, 1
+	accept(start, cel, stp)
+	for _, ord := range starts(cel.Plan(start)) {
+		cel.Started(start, ord, agent.Done)
+		cel.Report(start, start, ord.Target.VM, agent.Report{Born: 1, Active: []agent.Run{{Task: ord.Task, Number: ord.Run, Percent: 100}}})
+	}
+	cel.SetLeaving(start, map[string]bool{"a": true, "b": true})
+	if stops := len(cel.Plan(start)); stops > 0 {
+		t.Errorf("%d stops before another VM could be found", stops)
+	}
+	later := start.Add(3 * time.Second)
+	orders := cel.Plan(later)
+	if len(orders) != 1 || orders[0].Kind != cell.StopTask {
+		t.Errorf("orders %+v, want one stop: only one task may be away", orders)
+	}
+}
--- a/internal/schedule/cell/place.go
+++ b/internal/schedule/cell/place.go
@@ -32,7 +32,7 @@
 // Plan returns the orders that should be sent now, and takes them as sent.
 func (cel *Cell) Plan(now time.Time) []Order {
 	cel.findUsable(now)
-	cel.planLeaving()
+	cel.planLeaving(now)
 	orders := cel.planStops(now, nil)
 	cel.checkSettled(now)
 	var mss misses
--- a/internal/schedule/cell/pool.go
+++ b/internal/schedule/cell/pool.go
@@ -47,29 +47,35 @@
 func (cel *Cell) SetLeaving(now time.Time, leaving map[string]bool) {
 	for id, mac := range cel.vms {
 		if mac.isLeaving != leaving[id] {
-			mac.isLeaving = leaving[id]
+			mac.isLeaving, mac.leavingAt = leaving[id], now
 			cel.cfg.Event(now, "vmLeaving", slog.String("vm", id), slog.Bool("leaving", mac.isLeaving), slog.Int("tasks", len(mac.works)))
 		}
 	}
 }
 
 // planLeaving stops lasting tasks on VMs that are to be emptied.
-func (cel *Cell) planLeaving() {
+func (cel *Cell) planLeaving(now time.Time) {
 	for _, mac := range cel.machines() {
 		if !mac.isLeaving {
 			continue
 		}
 		for _, wrk := range mac.works {
-			if wrk.phase == running && wrk.step.step.IsLasting && cel.isMovable(wrk) {
+			if wrk.phase == running && wrk.step.step.IsLasting && cel.isMovable(now, wrk) {
 				cel.stop(wrk)
 			}
 		}
 	}
 }
 
+// roomWait is how long a lasting task on a VM that is to be emptied waits for room
+// elsewhere. A pool that has lent its VMs may have none with room for one more of
+// the step; the VM is back before callers notice that the task is away.
+const roomWait = 2 * time.Second
+
 // isMovable reports whether a lasting task may be stopped now: not more of its
-// step are away than the caller allows, and another VM has room for it.
-func (cel *Cell) isMovable(wrk *work) bool {
+// step are away than the caller allows, and another VM has room for it or it has
+// waited for that.
+func (cel *Cell) isMovable(now time.Time, wrk *work) bool {
 	away := 0
 	for i := range wrk.step.works {
 		other := &wrk.step.works[i]
@@ -77,5 +83,8 @@
 			away++
 		}
 	}
-	return away < max(1, wrk.step.step.MaxAway) && cel.choose(wrk.step, wrk) != nil
+	if away >= max(1, wrk.step.step.MaxAway) {
+		return false
+	}
+	return now.Sub(wrk.vm.leavingAt) > roomWait || cel.choose(wrk.step, wrk) != nil
 }
--- a/internal/schedule/cell/state.go
+++ b/internal/schedule/cell/state.go
@@ -95,6 +95,7 @@
 	isHeld     bool // it has answered this owner
 	isSilent   bool // the last look got no answer
 	isLeaving  bool // it is to be emptied for maintenance or a move
+	leavingAt  time.Time
 	born       int64
 	clock      time.Duration // at clockAt
 	clockAt    time.Time
