--- a/internal/fleet/arrivals/arrivals.go
+++ b/internal/fleet/arrivals/arrivals.go
@@ -5,6 +5,7 @@
 package arrivals
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -12,13 +13,32 @@
 const (
 	slot  = 200 * time.Millisecond
 	slots = 5 // a second: a tenth of a turn, and the largest jobs arrive 6 times in it
+	// ahead is how far arrivals are forecast: the time that a VM takes to move.
+	ahead = 2 * time.Second
+	// certain is how many standard deviations of a difference of counts make a turn.
+	certain = 2
+	// mostGrowth bounds a forecast, in multiples of the present rate: what a turn
+	// grows to within a move.
+	mostGrowth = 3
+	// holdFor is how long the highest forecast stands. Few large jobs arrive
+	// unevenly, and a turn that has begun does not end within it.
+	holdFor = 2 * time.Second
 )
 
+// Sum is what has arrived at a pool since its owner's term began.
+type Sum struct {
+	Work int64 // in thousandths of a core for a second
+	Jobs int64
+}
+
 // track is the recent past of one pool.
 type track struct {
-	last   int64
+	last   Sum
 	at     time.Time
-	recent []int64 // work in the latest slots
+	recent []Sum // in the latest slots, of two spans
+	// forecast is the highest of late, made at forecastAt.
+	forecast   int64
+	forecastAt time.Time
 }
 
 // Arrivals is what has arrived lately. It is not safe for concurrent use.
@@ -29,9 +49,8 @@
 // New returns an Arrivals that has seen nothing.
 func New() *Arrivals { return &Arrivals{pools: map[string]*track{}} }
 
-// Observe takes in the work that has arrived at a pool since its owner's term
-// began, in thousandths of a core for a second.
-func (arr *Arrivals) Observe(now time.Time, pool string, sum int64) {
+// Observe takes in what has arrived at a pool so far.
+func (arr *Arrivals) Observe(now time.Time, pool string, sum Sum) {
 	trk, ok := arr.pools[pool]
 	if !ok {
 		arr.pools[pool] = &track{last: sum, at: now}
@@ -40,17 +59,49 @@
 	if now.Sub(trk.at) < slot {
 		return
 	}
-	fresh := sum - trk.last
+	fresh := Sum{Work: sum.Work - trk.last.Work, Jobs: sum.Jobs - trk.last.Jobs}
 	trk.last, trk.at = sum, now
-	if fresh < 0 {
+	if fresh.Work < 0 || fresh.Jobs < 0 {
 		return // a new owner counts anew
 	}
 	trk.recent = append(trk.recent, fresh)
-	if len(trk.recent) > slots {
+	if len(trk.recent) > 2*slots {
 		trk.recent = slices.Delete(trk.recent, 0, 1)
 	}
+	trk.predict(now)
 }
 
+// predict forecasts the rate of work by the growth of the number of jobs over the
+// last second. Jobs differ in size by more than ten times, so the work of one says
+// nothing of a turn.
+func (trk *track) predict(now time.Time) {
+	if len(trk.recent) < 2*slots {
+		return
+	}
+	before, last := sumOf(trk.recent[:slots]), sumOf(trk.recent[slots:])
+	growth := float64(last.Jobs - before.Jobs)
+	next := rateOf(last)
+	if growth > certain*math.Sqrt(float64(last.Jobs+before.Jobs)) {
+		factor := 1 + growth/float64(last.Jobs)*ahead.Seconds()/(slots*slot).Seconds()
+		next = int64(min(factor, mostGrowth) * float64(next))
+	}
+	if next >= trk.forecast || now.Sub(trk.forecastAt) > holdFor {
+		trk.forecast, trk.forecastAt = next, now
+	}
+}
+
+func sumOf(span []Sum) Sum {
+	var all Sum
+	for _, part := range span {
+		all.Work += part.Work
+		all.Jobs += part.Jobs
+	}
+	return all
+}
+
+// rateOf returns the rate of the work of a span.
+func rateOf(span Sum) int64 { return int64(float64(span.Work) / (slots * slot).Seconds()) }
+
 // Rate returns what arrives at the pool, in thousandths of a core: what its work
 // takes while arrivals go on as in the last second.
 func (arr *Arrivals) Rate(pool string) int64 {
@@ -58,9 +109,15 @@
 	if !ok {
 		return 0
 	}
-	work := int64(0)
-	for _, part := range trk.recent {
-		work += part
+	return rateOf(sumOf(trk.recent[max(0, len(trk.recent)-slots):]))
+}
+
+// Forecast returns what will arrive at the pool when a VM that moves now has come,
+// in thousandths of a core; 0 while too little has been seen.
+func (arr *Arrivals) Forecast(pool string) int64 {
+	trk, ok := arr.pools[pool]
+	if !ok {
+		return 0
 	}
-	return int64(float64(work) / (slots * slot).Seconds())
+	return trk.forecast
 }
--- a/internal/fleet/arrivals/arrivals_test.go
+++ b/internal/fleet/arrivals/arrivals_test.go
@@ -7,14 +7,18 @@
 	"daisywheel/internal/fleet/arrivals"
 )
 
-const step = 200 * time.Millisecond
+const (
+	step   = 200 * time.Millisecond
+	perJob = 1000
+)
 
 func TestRateFollowsATurnWithinASecond(t *testing.T) {
-	arr, now, sum := arrivals.New(), time.Unix(1000, 0), int64(0)
+	arr, now, sum := arrivals.New(), time.Unix(1000, 0), arrivals.Sum{}
 	advance := func(steps int, work int64) {
 		for range steps {
 			now = now.Add(step)
-			sum += work
+			sum.Work += work
+			sum.Jobs += work / perJob
 			arr.Observe(now, "gate", sum)
 		}
 	}
@@ -35,10 +39,55 @@
 
 func TestNewOwnerCountsAnew(t *testing.T) {
 	arr, now := arrivals.New(), time.Unix(1000, 0)
-	arr.Observe(now, "gate", 900000)
-	arr.Observe(now.Add(step), "gate", 1000)
-	arr.Observe(now.Add(2*step), "gate", 2000)
+	arr.Observe(now, "gate", arrivals.Sum{Work: 900000, Jobs: 90})
+	arr.Observe(now.Add(step), "gate", arrivals.Sum{Work: 1000, Jobs: 1})
+	arr.Observe(now.Add(2*step), "gate", arrivals.Sum{Work: 2000, Jobs: 2})
 	if got := arr.Rate("gate"); got != 1000 {
 		t.Errorf("rate %d, want 1000: what came since the new owner began", got)
 	}
 }
+
+// VMs take a while to move, so a turn that is growing is taken for larger than it is.
+func TestGrowingTurnIsForecast(t *testing.T) {
+	arr, now, sum := arrivals.New(), time.Unix(1000, 0), arrivals.Sum{}
+	advance := func(steps int, work int64) {
+		for range steps {
+			now = now.Add(step)
+			sum.Work += work
+			sum.Jobs += work / perJob
+			arr.Observe(now, "gate", sum)
+		}
+	}
+	arr.Observe(now, "gate", sum)
+	advance(10, 2000)
+	if rate, got := arr.Rate("gate"), arr.Forecast("gate"); got != rate {
+		t.Errorf("forecast %d of a steady rate of %d", got, rate)
+	}
+	advance(5, 10000)
+	rate, peak := arr.Rate("gate"), arr.Forecast("gate")
+	if peak <= 2*rate || peak > 3*rate {
+		t.Errorf("forecast %d in a turn that has grown to %d, want more than twice and at most three times as much", peak, rate)
+	}
+	advance(8, 2000)
+	if got := arr.Forecast("gate"); got != peak {
+		t.Errorf("forecast %d a moment later, want %d to stand", got, peak)
+	}
+	advance(15, 2000)
+	if rate, got := arr.Rate("gate"), arr.Forecast("gate"); got != rate {
+		t.Errorf("forecast %d long after the turn, want the rate of %d", got, rate)
+	}
+}
+
+func TestOneLargeJobIsNoTurn(t *testing.T) {
+	arr, now, sum := arrivals.New(), time.Unix(1000, 0), arrivals.Sum{}
+	for i := range 15 {
+		now = now.Add(step)
+		if i == 12 {
+			sum.Work, sum.Jobs = sum.Work+500000, sum.Jobs+1
+		}
+		arr.Observe(now, "gate", sum)
+	}
+	if rate, got := arr.Rate("gate"), arr.Forecast("gate"); got != rate || rate != 500000 {
+		t.Errorf("forecast %d after one job, rate %d", got, rate)
+	}
+}
--- a/internal/fleet/balance/balance.go
+++ b/internal/fleet/balance/balance.go
@@ -9,6 +9,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"daisywheel/internal/fleet/arrivals"
 )
 
 const (
@@ -39,11 +41,12 @@
 // Pool is a pool as its owner sees it.
 type Pool struct {
 	Name      string
-	IsStandby bool  // its VMs are off
-	Wanted    int64 // thousandths of a core that work which can end in time can use
-	Late      int64 // thousandths of a core that the work which cannot could use
-	Incoming  int64 // thousandths of a core that are on their way
-	Arrived   int64 // work since the owner's term began, in thousandths of a core for a second
+	IsStandby bool         // its VMs are off
+	Wanted    int64        // thousandths of a core that work which can end in time can use
+	Late      int64        // thousandths of a core that the work which cannot could use
+	Forecast  int64        // thousandths of a core that arriving work will want soon
+	Incoming  int64        // thousandths of a core that are on their way
+	Arrived   arrivals.Sum // since the owner's term began
 	VMs       []VM
 }
 
@@ -77,6 +80,14 @@
 	return acc.deficit() + acc.pool.Late
 }
 
+// forecastDeficit returns what the pool will miss for the work that is about to come.
+func (acc *account) forecastDeficit() int64 {
+	if acc.pool.IsStandby {
+		return 0
+	}
+	return int64(headroom*float64(max(acc.pool.Wanted, acc.pool.Forecast))) - acc.supply
+}
+
 // Decide returns the transfers that should begin now.
 func Decide(now time.Time, pools []Pool) []Transfer {
 	if len(pools) == 0 {
@@ -94,18 +105,19 @@
 		accounts = append(accounts, acc)
 	}
 	transfers := serve(now, accounts, nil, (*account).deficit, false)
+	transfers = serve(now, accounts, transfers, (*account).forecastDeficit, true)
 	return serve(now, accounts, transfers, (*account).lateDeficit, true)
 }
 
-// serve gives VMs to the pools that miss most. Late work gets only VMs that are
-// idle, and none from the spare pool.
-func serve(now time.Time, accounts []*account, transfers []Transfer, missing func(*account) int64, isLate bool) []Transfer {
+// serve gives VMs to the pools that miss most. Late work, and work that has not come
+// yet, get only VMs that are idle, and none from the spare pool.
+func serve(now time.Time, accounts []*account, transfers []Transfer, missing func(*account) int64, isIdle bool) []Transfer {
 	for len(transfers) < perRound {
 		taker := slices.MaxFunc(accounts, func(one, two *account) int { return cmp.Compare(missing(one), missing(two)) })
 		if missing(taker) <= 0 {
 			break
 		}
-		trf, ok := pick(now, accounts, taker, isLate)
+		trf, ok := pick(now, accounts, taker, isIdle)
 		if !ok {
 			break
 		}
@@ -115,14 +127,14 @@
 }
 
 // pick takes a VM for the pool from the one that misses it least.
-func pick(now time.Time, accounts []*account, taker *account, isLate bool) (Transfer, bool) {
+func pick(now time.Time, accounts []*account, taker *account, isIdle bool) (Transfer, bool) {
 	var best *account
 	bestAt := -1
 	for _, acc := range accounts {
-		if acc == taker || isLate && (acc.pool.IsStandby || acc.lateDeficit() > 0) {
+		if acc == taker || isIdle && (acc.pool.IsStandby || acc.lateDeficit() > 0 || acc.forecastDeficit() > 0) {
 			continue
 		}
-		at := acc.spare(now, isLate)
+		at := acc.spare(now, isIdle)
 		if at >= 0 && (best == nil || acc.isBetter(best)) {
 			best, bestAt = acc, at
 		}
--- a/internal/fleet/balance/balance_test.go
+++ b/internal/fleet/balance/balance_test.go
@@ -91,3 +91,27 @@
 		t.Errorf("VMs that have just come move on: %v", got)
 	}
 }
+
+// Work that is only expected gets VMs that nobody needs: idle, running already, and
+// of a pool that expects none itself.
+func TestForecastGetsIdleVMsOnly(t *testing.T) {
+	spare := pool("spare", 0, 2, 0)
+	spare.IsStandby = true
+	gate := pool("gate", 16000, 1, 1)
+	gate.Forecast = 500000
+	haul, ticket := pool("haul", 16000, 5, 0), pool("ticket", 16000, 8, 0)
+	haul.VMs[0].Tasks = 1
+	ticket.Forecast = 900000
+	got := balance.Decide(now, []balance.Pool{gate, haul, spare})
+	if len(got) != 3 {
+		t.Errorf("%v, want the idle VMs of haul but the two that it keeps", got)
+	}
+	for _, trf := range got {
+		if trf.From != "haul" || trf.VM == "haul-0" {
+			t.Errorf("%v for work that is only expected", trf)
+		}
+	}
+	if got := balance.Decide(now, []balance.Pool{gate, ticket}); len(got) > 0 {
+		t.Errorf("%v: a pool that expects work itself gives VMs", got)
+	}
+}
--- a/internal/schedule/cell/cell.go
+++ b/internal/schedule/cell/cell.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"daisywheel/internal/fleet/agent"
+	"daisywheel/internal/fleet/arrivals"
 	"daisywheel/internal/fleet/queue"
 	"daisywheel/internal/job/plan"
 	"daisywheel/internal/job/task"
@@ -71,10 +72,10 @@
 	over    map[string]int64 // lives that have ended and may still be listed, with their start
 	// confirmed is when this was last known to be the pool's owner.
 	confirmed time.Time
-	arrived   int64    // work since the term began, in thousandths of a core for a second
-	ended     []string // ids of ended jobs, oldest first
-	settled   bool     // no task of an earlier owner can run unknown
-	isUrgent  bool     // an ended job waits to be stored
+	arrived   arrivals.Sum // since the term began
+	ended     []string     // ids of ended jobs, oldest first
+	settled   bool         // no task of an earlier owner can run unknown
+	isUrgent  bool         // an ended job waits to be stored
 }
 
 // New returns a Cell at the start of its owner's term.
@@ -125,7 +126,8 @@
 	cel.openDue(now, ent)
 	cel.keepTime(ent)
 	if !jb.Plan.IsLasting() {
-		cel.arrived += jb.Plan.Work()
+		cel.arrived.Work += jb.Plan.Work()
+		cel.arrived.Jobs++
 	}
 }
 
--- a/internal/schedule/service/fleet.go
+++ b/internal/schedule/service/fleet.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"daisywheel/internal/fleet/arrivals"
 	"daisywheel/internal/fleet/balance"
 	"daisywheel/internal/result/code"
 	"daisywheel/internal/result/fault"
@@ -172,6 +173,7 @@
 	Wanted int64    `json:"wantedMilliCores"`
 	Late   int64    `json:"lateMilliCores,omitempty"`
 	Work   int64    `json:"arrivedMilliCoreSeconds"`
+	Jobs   int64    `json:"arrivedJobs"`
 	VMs    []vmForm `json:"vms"`
 }
 
@@ -193,7 +195,7 @@
 }
 
 func formOf(now time.Time, pol balance.Pool) poolForm {
-	frm := poolForm{Name: pol.Name, Wanted: pol.Wanted, Late: pol.Late, Work: pol.Arrived, VMs: make([]vmForm, 0, len(pol.VMs))}
+	frm := poolForm{Name: pol.Name, Wanted: pol.Wanted, Late: pol.Late, Work: pol.Arrived.Work, Jobs: pol.Arrived.Jobs, VMs: make([]vmForm, 0, len(pol.VMs))}
 	for _, vm := range pol.VMs {
 		frm.VMs = append(frm.VMs, vmForm{
 			ID: vm.ID, MilliCores: vm.MilliCores, Tasks: vm.Tasks, Lasting: vm.Lasting,
@@ -204,7 +206,7 @@
 }
 
 func poolOf(now time.Time, frm poolForm) balance.Pool {
-	pol := balance.Pool{Name: frm.Name, Wanted: frm.Wanted, Late: frm.Late, Arrived: frm.Work}
+	pol := balance.Pool{Name: frm.Name, Wanted: frm.Wanted, Late: frm.Late, Arrived: arrivals.Sum{Work: frm.Work, Jobs: frm.Jobs}}
 	for _, vm := range frm.VMs {
 		pol.VMs = append(pol.VMs, balance.VM{
 			ID: vm.ID, MilliCores: vm.MilliCores, Tasks: vm.Tasks, Lasting: vm.Lasting,
--- a/internal/schedule/steward/moves.go
+++ b/internal/schedule/steward/moves.go
@@ -69,6 +69,7 @@
 		pol := rpt.pool
 		pol.Incoming = incoming[pol.Name]
 		pol.Wanted = max(pol.Wanted, stw.arrivals.Rate(pol.Name))
+		pol.Forecast = stw.arrivals.Forecast(pol.Name)
 		pol.VMs = slices.Clone(pol.VMs)
 		for i := range pol.VMs {
 			mac, ok := stw.machines[names[pol.VMs[i].ID]]
