Confine each job to a zone that is stored with it

A job without restrictions now runs in the zone of the least load, which its record names, and elsewhere only after that is recorded; a new owner holds back the jobs of the zones that it cannot reach.

--- a/internal/schedule/cell/cell.go
+++ b/internal/schedule/cell/cell.go
@@ -61,21 +61,23 @@
 	timed   map[string]*entry // with occurrences that are not due yet
 	open    map[*stage]bool
 	halting map[*work]bool // to be stopped
-	// usable are the VMs that may take tasks, and free their room by zone in
-	// thousandths of a core, as of the plan in the making.
-	usable  []*machine
-	free    map[string]int64
-	models  map[string]*runtime.Model // by queue
-	dirty   map[string]bool
-	newVMs  map[string]bool  // to be recorded
-	goneVMs map[string]bool  // whose record is to be dropped
-	over    map[string]int64 // lives that have ended and may still be listed, with their start
+	// usable are the VMs that may take tasks, and loads those of their zones, as of
+	// the plan in the making.
+	usable []*machine
+	loads  map[string]load
+	// unsettled are the zones where unknown tasks of an earlier owner may run.
+	unsettled map[string]bool
+	models    map[string]*runtime.Model // by queue
+	dirty     map[string]bool
+	newVMs    map[string]bool  // to be recorded
+	goneVMs   map[string]bool  // whose record is to be dropped
+	over      map[string]int64 // lives that have ended and may still be listed, with their start
 	// confirmed is when this was last known to be the pool's owner.
 	confirmed time.Time
 	arrived   arrivals.Sum // since the term began
 	ended     []string     // ids of ended jobs, oldest first
 	settled   bool         // no task of an earlier owner can run unknown
-	isUrgent  bool         // an ended job waits to be stored
+	isUrgent  bool         // a change waits to be stored for which callers or tasks wait
 }
 
 // New returns a Cell at the start of its owner's term.
@@ -83,7 +85,7 @@
 	return &Cell{
 		cfg: cfg, settled: cfg.IsFirst,
 		vms: map[string]*machine{}, jobs: map[string]*entry{}, timed: map[string]*entry{}, open: map[*stage]bool{},
-		halting: map[*work]bool{}, free: map[string]int64{}, models: map[string]*runtime.Model{}, dirty: map[string]bool{},
+		halting: map[*work]bool{}, loads: map[string]load{}, unsettled: map[string]bool{}, models: map[string]*runtime.Model{}, dirty: map[string]bool{},
 		newVMs: map[string]bool{}, goneVMs: map[string]bool{}, over: map[string]int64{},
 	}
 }
@@ -135,7 +137,7 @@
 	que, _ := cel.queueOf(jb.Queue)
 	chain := jb.Plan.Chain()
 	return &entry{
-		plan: jb.Plan, queue: jb.Queue, accepted: now, remaining: chain,
+		plan: jb.Plan, queue: jb.Queue, accepted: now, remaining: chain, home: jb.Zone,
 		objective: now.Add(time.Duration(que.Factor*float64(chain)) + que.Goal),
 		rounds:    make([]*round, jb.Plan.Occurrences()),
 	}
--- a/internal/schedule/cell/place.go
+++ b/internal/schedule/cell/place.go
@@ -35,10 +35,12 @@
 	cel.planLeaving(now)
 	orders := cel.planStops(now, nil)
 	cel.checkSettled(now)
-	var mss misses
-	for _, stg := range cel.sorted(now) {
-		if !mss.covers(stg.step) {
-			orders = cel.placeStage(now, stg, &mss, orders)
+	mss := misses{}
+	stages := cel.sorted(now)
+	cel.weighZones(stages)
+	for _, stg := range stages {
+		if !mss.covers(stg) {
+			orders = cel.placeStage(now, stg, mss, orders)
 		}
 	}
 	return cel.planPaces(orders)
@@ -47,31 +49,14 @@
 // findUsable notes the VMs that may take tasks now.
 func (cel *Cell) findUsable(now time.Time) {
 	cel.usable = cel.usable[:0]
-	clear(cel.free)
 	fresh := now.Add(-staleAfter)
 	for _, mac := range cel.machines() {
 		if mac.isUsable() && !mac.heardAt.Before(fresh) && !now.Before(mac.quietUntil) {
 			cel.usable = append(cel.usable, mac)
-			cel.free[mac.host.Zone] += mac.room().MilliCores
 		}
 	}
 }
 
-// checkSettled finds out whether tasks of earlier terms may be started: every VM
-// has told what runs there, or its leases have run out.
-func (cel *Cell) checkSettled(now time.Time) {
-	if cel.settled {
-		return
-	}
-	for _, mac := range cel.machines() {
-		if mac.isOld && now.Before(mac.leaseEnd) {
-			return
-		}
-	}
-	cel.settled = true
-	cel.cfg.Event(now, "cellSettled", slog.Int("vms", len(cel.vms)), slog.Int("jobs", len(cel.jobs)))
-}
-
 func (cel *Cell) planStops(now time.Time, orders []Order) []Order {
 	for wrk := range cel.halting {
 		switch {
@@ -124,7 +109,7 @@
 func (cel *Cell) sorted(now time.Time) []*stage {
 	list := make([]rankedStage, 0, len(cel.open))
 	for stg := range cel.open {
-		if stg.waitCount == 0 || stg.job.isOld && !cel.settled {
+		if stg.waitCount == 0 || !cel.isSettled(stg.job) {
 			continue
 		}
 		list = append(list, rankedStage{key: rank.KeyOf(now, cel.claim(stg)), stg: stg})
@@ -137,7 +122,7 @@
 	return stages
 }
 
-func (cel *Cell) placeStage(now time.Time, stg *stage, mss *misses, orders []Order) []Order {
+func (cel *Cell) placeStage(now time.Time, stg *stage, mss misses, orders []Order) []Order {
 	if !cel.isAllowed(stg) {
 		return orders
 	}
@@ -151,7 +136,7 @@
 		}
 		mac := cel.choose(stg, wrk)
 		if mac == nil {
-			mss.add(stg.step)
+			cel.missed(stg, wrk, mss)
 			break // the other tasks of the stage need as much
 		}
 		orders = append(orders, cel.start(now, mac, wrk, cel.nextRun(wrk)))
@@ -215,14 +200,13 @@
 	var best *machine
 	var bestCost float64
 	need := counted(stg.step)
-	home := cel.homeOf(stg.job)
 	for _, mac := range cel.usable {
-		if !need.Fits(mac.room()) || !mac.mayTake(stg) {
+		if !need.Fits(mac.room()) || !stg.job.mayRunIn(mac.host.Zone) || !mac.mayTake(stg) {
 			continue
 		}
 		cost := fit.Score(stg.step, fit.Candidate{
 			Room: mac.room(), Capacity: mac.host.Capacity, IsNear: mac.host.Has(stg.step.Rack),
-			IsAvoided: wrk.avoid == mac.host.ID, IsHome: mac.host.Zone == home, Serving: mac.serving, Helpers: mac.helpers, Same: mac.perStage[stg],
+			IsAvoided: wrk.avoid == mac.host.ID, Serving: mac.serving, Helpers: mac.helpers, Same: mac.perStage[stg],
 		})
 		if best == nil || cost < bestCost {
 			best, bestCost = mac, cost
@@ -237,21 +221,6 @@
 		!mac.host.IsDraining && len(mac.strays) == 0
 }
 
-// homeOf returns the zone in which tasks of the job should start: where its others
-// did, or the one with the most room.
-func (cel *Cell) homeOf(ent *entry) string {
-	if ent.zone != "" {
-		return ent.zone
-	}
-	home, most := "", int64(0)
-	for zone, free := range cel.free {
-		if free > most || free == most && zone < home {
-			home, most = zone, free
-		}
-	}
-	return home
-}
-
 // mayTake reports whether the stage's restrictions allow one more of its tasks on
 // the VM.
 func (mac *machine) mayTake(stg *stage) bool {
@@ -268,8 +237,6 @@
 	wrk.step.startedAt = now
 	mac.add(wrk)
 	ent := wrk.step.job
-	ent.zone = mac.host.Zone
-	cel.free[ent.zone] -= counted(wrk.step.step).MilliCores
 	if !ent.isBegun {
 		ent.isBegun = true
 		cel.cfg.Event(now, "jobBegun", slog.String("job", ent.plan.ID), slog.String("vm", mac.host.ID),
--- a/internal/schedule/cell/record.go
+++ b/internal/schedule/cell/record.go
@@ -59,6 +59,10 @@
 	for _, upd := range bat.Updates {
 		if ent, ok := cel.jobs[upd.ID]; ok {
 			ent.recorded = upd.Progress.State
+			ent.zones = upd.Progress.Zones
+			if slices.Contains(ent.zones, ent.wish) {
+				ent.wish = ""
+			}
 		}
 	}
 	for _, hst := range bat.Hosts {
@@ -92,7 +96,8 @@
 	}
 }
 
-// HasUrgent reports whether something waits to be stored that callers wait for.
+// HasUrgent reports whether something waits to be stored for which callers or tasks
+// wait.
 func (cel *Cell) HasUrgent() bool { return cel.isUrgent }
 
 // HasChanges reports whether anything waits to be stored.
@@ -106,6 +111,10 @@
 	if ent.isBegun {
 		prg.State = ledger.Running
 	}
+	prg.Zones = slices.Clone(ent.zones)
+	if ent.wish != "" && !slices.Contains(prg.Zones, ent.wish) {
+		prg.Zones = append(prg.Zones, ent.wish)
+	}
 	for _, num := range ent.doneRounds {
 		for i := range ent.plan.Steps {
 			prg.Done = append(prg.Done, ledger.StepDone{Occurrence: num, Step: i, IsAll: true})
@@ -154,6 +163,7 @@
 	age := max(0, now.Sub(jb.Accepted))
 	ent.objective = ent.objective.Add(-age)
 	ent.accepted = now.Add(-age)
+	ent.zones = prg.Zones
 	ent.isOld, ent.recorded = !cel.cfg.IsFirst, prg.State
 	ent.isBegun = prg.State == ledger.Running
 	cel.jobs[id] = ent
--- a/internal/schedule/cell/state.go
+++ b/internal/schedule/cell/state.go
@@ -79,9 +79,11 @@
 	remaining  time.Duration
 	isOld      bool // stored before this owner's term
 	isDirty    bool
-	isBegun    bool   // a task has been started
-	held       int    // works on VMs
-	zone       string // of the latest task started
+	isBegun    bool     // a task has been started
+	held       int      // works on VMs
+	home       string   // zone that it is confined to; empty for none
+	zones      []string // where it may run beside home, as stored
+	wish       string   // zone that is to be recorded as another one
 	// doneRounds are the occurrences that are done, for the record.
 	doneRounds []int
 }
--- a/internal/schedule/cell/zone_test.go
+++ b/internal/schedule/cell/zone_test.go
@@ -3,52 +3,115 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
+	"daisywheel/internal/fleet/agent"
 	"daisywheel/internal/fleet/host"
 	"daisywheel/internal/job/plan"
+	"daisywheel/internal/schedule/cell"
 	"daisywheel/internal/schedule/ledger"
 )
 
-// A zone that is cut off must stop the jobs of that zone only, and not a task of
-// every job.
-func TestJobStaysInOneZone(t *testing.T) {
-	cel, _ := newCell(true)
+// zoned returns VMs in three zones by turns, and the zone of each.
+func zoned(count int) ([]host.Host, map[string]string) {
 	var hosts []host.Host
 	zones := map[string]string{}
-	for i := range 12 {
+	for i := range count {
 		hst := vm(fmt.Sprintf("vm-%02d", i), 1)
 		hst.Zone = fmt.Sprintf("zone-%d", i%3)
 		zones[hst.ID] = hst.Zone
 		hosts = append(hosts, hst)
 	}
+	return hosts, zones
+}
+
+// hand accepts a job as its owner does, and returns the record that is stored.
+func hand(cel *cell.Cell, num int, stp plan.Step) ledger.Job {
+	jb := ledger.Job{Queue: "q", Accepted: start, Plan: &plan.Plan{ID: fmt.Sprintf("%016x", num), Steps: []plan.Step{stp}}}
+	jb.Zone = cel.HomeFor(jb.Plan)
+	cel.Accept(start, jb)
+	return jb
+}
+
+func TestJobsAreSpreadOverZonesAndStayInTheirs(t *testing.T) {
+	cel, _ := newCell(true)
+	hosts, zones := zoned(12)
 	settle(start, cel, hosts...)
+	cel.Plan(start)
+	used := map[string]bool{}
 	for num := range 3 {
-		cel.Accept(start, ledger.Job{Queue: "q", Accepted: start, Plan: &plan.Plan{
-			ID: fmt.Sprintf("%016x", num), Steps: []plan.Step{step(10, 1200)},
-		}})
-	}
-	homes := map[string]map[string]bool{}
-	for _, ord := range starts(cel.Plan(start)) {
-		if homes[ord.Task.Job] == nil {
-			homes[ord.Task.Job] = map[string]bool{}
+		jb := hand(cel, num, step(10, 1200))
+		used[jb.Zone] = true
+		for _, ord := range starts(cel.Plan(start)) {
+			if zones[ord.Target.VM] != jb.Zone {
+				t.Errorf("a task of a job in %s starts in %s", jb.Zone, zones[ord.Target.VM])
+			}
 		}
-		homes[ord.Task.Job][zones[ord.Target.VM]] = true
 	}
-	used := map[string]bool{}
-	for id, in := range homes {
-		if len(in) != 1 {
-			t.Errorf("job %s runs in %d zones", id, len(in))
+	if len(used) != 3 {
+		t.Errorf("three jobs in %d zones, want 3", len(used))
+	}
+}
+
+// A job that needs more than its zone has goes on elsewhere, once that is stored.
+func TestJobLeavesItsZoneWhenThatIsStored(t *testing.T) {
+	cel, _ := newCell(true)
+	hosts, zones := zoned(6)
+	settle(start, cel, hosts...)
+	cel.Plan(start)
+	jb := hand(cel, 1, step(12, 1000))
+	if got := len(starts(cel.Plan(start))); got != 8 {
+		t.Fatalf("%d starts in a zone with room for 8", got)
+	}
+	if !cel.HasUrgent() {
+		t.Error("another zone is not asked for")
+	}
+	if got := len(starts(cel.Plan(start))); got != 0 {
+		t.Errorf("%d tasks start elsewhere before that is stored", got)
+	}
+	bat := cel.TakeBatch()
+	if len(bat.Updates) != 1 || len(bat.Updates[0].Progress.Zones) != 1 {
+		t.Fatalf("updates %+v, want the other zone", bat.Updates)
+	}
+	cel.Recorded(bat)
+	orders := starts(cel.Plan(start))
+	for _, ord := range orders {
+		if got := zones[ord.Target.VM]; got == jb.Zone || got != bat.Updates[0].Progress.Zones[0] {
+			t.Errorf("a task starts in %s", got)
 		}
-		for zone := range in {
-			used[zone] = true
+	}
+	if len(orders) != 4 {
+		t.Errorf("%d more starts, want 4", len(orders))
+	}
+}
+
+// A new owner that cannot reach a zone goes on with the jobs of the others.
+func TestSilentZoneHoldsUpItsOwnJobsOnly(t *testing.T) {
+	cel, _ := newCell(false)
+	hosts, _ := zoned(6)
+	for _, hst := range hosts {
+		cel.RestoreHost(start, hst)
+	}
+	for num, zone := range []string{"zone-0", "zone-1", ""} {
+		jb := ledger.Job{Queue: "q", Accepted: start, Zone: zone, Plan: &plan.Plan{ID: fmt.Sprintf("%016x", num), Steps: []plan.Step{step(1, 1000)}}}
+		cel.Restore(start, jb.Plan.ID, &jb, ledger.Progress{})
+	}
+	moved := ledger.Job{Queue: "q", Accepted: start, Zone: "zone-1", Plan: &plan.Plan{ID: "00000000000000aa", Steps: []plan.Step{step(1, 1000)}}}
+	cel.Restore(start, moved.Plan.ID, &moved, ledger.Progress{Zones: []string{"zone-0"}})
+	cel.SetHosts(start, hosts)
+	for _, hst := range hosts {
+		if hst.Zone != "zone-0" {
+			cel.Report(start, start, hst.ID, agent.Report{Born: 1})
 		}
 	}
-	if len(homes) != 3 || len(used) != 3 {
-		t.Errorf("%d jobs begun in %d zones, want 3 in 3", len(homes), len(used))
+	orders := starts(cel.Plan(start))
+	if len(orders) != 1 || orders[0].Task.Job != fmt.Sprintf("%016x", 1) {
+		t.Errorf("starts %+v, want the job of zone-1 alone: others may run in zone-0", orders)
+	}
+	for _, hst := range hosts {
+		cel.Report(start, start, hst.ID, agent.Report{Born: 1})
 	}
-	wide := &plan.Plan{ID: "00000000000000aa", Steps: []plan.Step{step(12, 300)}}
-	cel.Accept(start, ledger.Job{Queue: "q", Accepted: start, Plan: wide})
-	if got := len(starts(cel.Plan(start))); got != 12 {
-		t.Errorf("%d tasks of a job that no zone holds alone started, want all 12", got)
+	if got := len(starts(cel.Plan(start.Add(time.Millisecond)))); got != 3 {
+		t.Errorf("%d starts once all VMs have told, want 3", got)
 	}
 }
--- a/internal/schedule/fit/fit.go
+++ b/internal/schedule/fit/fit.go
@@ -12,7 +12,6 @@
 	Capacity  plan.Demand
 	IsNear    bool // the task's data lies in the VM's rack, or it has no preference
 	IsAvoided bool // the last run of the task failed there
-	IsHome    bool // other tasks of the job run in the VM's zone, or none run yet
 	Serving   int  // tasks with a bound on their tail
 	Helpers   int  // background tasks
 	Same      int  // tasks of the same step
@@ -24,10 +23,6 @@
 	avoidWeight   = 4  // a VM that just failed the task is the last choice
 	servingWeight = 1  // one neighbour that serves counts as a whole VM's room
 	sameWeight    = .5 // spreads a lasting step over VMs
-	// homeWeight keeps the tasks of a job in one zone at the price of any packing: a
-	// zone that is cut off then stops a third of the jobs instead of a third of the
-	// tasks of each.
-	homeWeight = 1
 )
 
 // Score returns the cost of placing the task there; the lowest is best.
@@ -45,8 +40,6 @@
 	}
 	if stp.IsLasting {
 		cost += sameWeight * float64(cnd.Same)
-	} else if !cnd.IsHome {
-		cost += homeWeight
 	}
 	if stp.Goal > 0 {
 		cost += servingWeight * float64(cnd.Helpers)
--- a/internal/schedule/ledger/ledger.go
+++ b/internal/schedule/ledger/ledger.go
@@ -38,6 +38,7 @@
 	Plan     *plan.Plan
 	Queue    string
 	Accepted time.Time // wall clock of the owner
+	Zone     string    // where its tasks run; empty for anywhere
 }
 
 // Failure lists the failed runs of a task, as a VM may report an end again.
@@ -54,6 +55,7 @@
 	// occurrence that has any. A step that is done as a whole has AllDone.
 	Done     []StepDone
 	Failures []Failure
+	Zones    []string // where tasks may run beside the job's own zone
 }
 
 // StepDone lists the tasks of a step that are done.
@@ -72,6 +74,7 @@
 	Times    int        `json:"times,omitempty"`
 	FirstAt  int64      `json:"firstAtMs,omitempty"`
 	Interval int64      `json:"intervalMs,omitempty"`
+	Zone     string     `json:"zone,omitempty"`
 }
 
 type stepForm struct {
@@ -100,7 +103,7 @@
 	pln := jb.Plan
 	frm := jobForm{
 		ID: pln.ID, Queue: jb.Queue, Accepted: jb.Accepted.UnixMilli(), Spec: pln.Spec,
-		Times: pln.Times, Interval: pln.Interval.Milliseconds(),
+		Times: pln.Times, Interval: pln.Interval.Milliseconds(), Zone: jb.Zone,
 	}
 	if pln.IsRepeating() {
 		frm.FirstAt = pln.FirstAt.UnixMilli()
@@ -137,7 +140,7 @@
 	if err := pln.Check(); err != nil {
 		return Job{}, errors.Wrap(err, "job record")
 	}
-	return Job{Plan: pln, Queue: frm.Queue, Accepted: time.UnixMilli(frm.Accepted)}, nil
+	return Job{Plan: pln, Queue: frm.Queue, Accepted: time.UnixMilli(frm.Accepted), Zone: frm.Zone}, nil
 }
 
 func stepOf(frm *stepForm) plan.Step {
@@ -181,15 +184,16 @@
 }
 
 type progressForm struct {
-	State    State   `json:"state"`
-	Ended    int64   `json:"endedMs,omitempty"`
-	Done     [][]int `json:"done,omitempty"`     // occurrence, step, then indexes; none: all
-	Failures [][]int `json:"failures,omitempty"` // occurrence, step, index, then runs
+	State    State    `json:"state"`
+	Ended    int64    `json:"endedMs,omitempty"`
+	Done     [][]int  `json:"done,omitempty"`     // occurrence, step, then indexes; none: all
+	Failures [][]int  `json:"failures,omitempty"` // occurrence, step, index, then runs
+	Zones    []string `json:"zones,omitempty"`
 }
 
 // EncodeProgress returns the record of progress.
 func EncodeProgress(prg Progress) ([]byte, error) {
-	frm := progressForm{State: prg.State}
+	frm := progressForm{State: prg.State, Zones: prg.Zones}
 	if prg.State.IsEnded() {
 		frm.Ended = prg.Ended.UnixMilli()
 	}
@@ -216,7 +220,7 @@
 	if frm.State < Queued || frm.State > Cancelled {
 		return Progress{}, errors.Newf("progress record has the state %d", frm.State)
 	}
-	prg := Progress{State: frm.State, Ended: time.UnixMilli(frm.Ended)}
+	prg := Progress{State: frm.State, Ended: time.UnixMilli(frm.Ended), Zones: frm.Zones}
 	for _, row := range frm.Done {
 		if len(row) < 2 {
 			return Progress{}, errors.New("progress record has a row without a step")
--- a/internal/schedule/owner/duties.go
+++ b/internal/schedule/owner/duties.go
@@ -50,6 +50,9 @@
 		now := time.Now()
 		own.mu.Lock()
 		orders := own.cel.Plan(now)
+		if own.cel.HasUrgent() {
+			own.requestFlush()
+		}
 		own.mu.Unlock()
 		wait = max(planPause, planShare*time.Since(now))
 		for _, ord := range orders {
--- a/internal/schedule/owner/store.go
+++ b/internal/schedule/owner/store.go
@@ -72,6 +72,7 @@
 	for len(own.queued) > 0 && size < batchBytes {
 		sub := own.queued[0]
 		own.queued = own.queued[1:]
+		sub.job.Zone = own.cel.HomeFor(sub.job.Plan)
 		data, err := ledger.EncodeJob(sub.job)
 		if err != nil {
 			own.settle(sub, fault.Wrap(err, code.BadShape, "job cannot be stored"))
