Leave machines alone only as long as the steward before may be felt there

The record now has an age for each machine, is cleared once nothing is recent, and restored VMs do not count as new.

--- a/internal/schedule/cell/report.go
+++ b/internal/schedule/cell/report.go
@@ -251,7 +251,10 @@
 		mac.born = rpt.Born
 	}
 	if !mac.isHeld {
-		mac.isHeld, mac.isOld, mac.firstHeard = true, false, now
+		if !mac.isOld {
+			mac.firstHeard = now // a VM of an earlier owner has not just come
+		}
+		mac.isHeld, mac.isOld = true, false
 		mac.leaseEnd = later(mac.leaseEnd, now.Add(leaseBound(cel.cfg.LeaseMax)))
 		cel.cfg.Event(now, "vmHeld", slog.String("vm", id), slog.Int64("fence", cel.cfg.Fence),
 			slog.Int("active", len(rpt.Active)), slog.Int("ended", len(rpt.Ended)))
--- a/internal/schedule/service/fleet.go
+++ b/internal/schedule/service/fleet.go
@@ -194,12 +194,15 @@
 	Ended   []string `json:"ended"`
 }
 
+// longestAge stands for any longer time; a VM whose coming was not seen has none.
+const longestAge = time.Hour
+
 func formOf(now time.Time, pol balance.Pool) poolForm {
 	frm := poolForm{Name: pol.Name, Wanted: pol.Wanted, Late: pol.Late, Work: pol.Arrived.Work, Jobs: pol.Arrived.Jobs, VMs: make([]vmForm, 0, len(pol.VMs))}
 	for _, vm := range pol.VMs {
 		frm.VMs = append(frm.VMs, vmForm{
 			ID: vm.ID, MilliCores: vm.MilliCores, Tasks: vm.Tasks, Lasting: vm.Lasting,
-			AgeMs: now.Sub(vm.Since).Milliseconds(), IsUsable: vm.IsUsable, IsLeaving: vm.IsLeaving, IsSilent: vm.IsSilent,
+			AgeMs: min(now.Sub(vm.Since), longestAge).Milliseconds(), IsUsable: vm.IsUsable, IsLeaving: vm.IsLeaving, IsSilent: vm.IsSilent,
 		})
 	}
 	return frm
--- a/internal/schedule/steward/moves.go
+++ b/internal/schedule/steward/moves.go
@@ -16,7 +16,7 @@
 		return
 	}
 	names := stw.namesOfVMs()
-	pools := append(stw.sparePools(tab, names), stw.reportedPools(now, names)...)
+	pools := append(stw.sparePools(now, tab, names), stw.reportedPools(now, names)...)
 	stw.logPools(now, pools)
 	for _, trf := range balance.Decide(now, pools) {
 		mac := stw.machines[names[trf.VM]]
@@ -39,7 +39,7 @@
 
 // sparePools returns the pools whose VMs are off. Such a machine has no life, so
 // its own name stands for it, which is added to names.
-func (stw *Steward) sparePools(tab *queue.Table, names map[string]string) []balance.Pool {
+func (stw *Steward) sparePools(now time.Time, tab *queue.Table, names map[string]string) []balance.Pool {
 	var pools []balance.Pool
 	for _, svc := range tab.Services() {
 		if !svc.IsStandby {
@@ -47,7 +47,7 @@
 		}
 		pol := balance.Pool{Name: svc.Name, IsStandby: true}
 		for name, mac := range stw.machines {
-			if mac.Pool == svc.Name && mac.IsUp && stw.tasks[name] == nil && !stw.heldBack[name] {
+			if mac.Pool == svc.Name && mac.IsUp && stw.tasks[name] == nil && !stw.isHeldBack(now, name) {
 				pol.VMs = append(pol.VMs, balance.VM{ID: name, MilliCores: mac.MilliCores, IsUsable: true})
 				names[name] = name
 			}
@@ -73,7 +73,7 @@
 		pol.VMs = slices.Clone(pol.VMs)
 		for i := range pol.VMs {
 			mac, ok := stw.machines[names[pol.VMs[i].ID]]
-			if !ok || stw.tasks[mac.Name] != nil || stw.heldBack[mac.Name] {
+			if !ok || stw.tasks[mac.Name] != nil || stw.isHeldBack(now, mac.Name) {
 				pol.VMs[i].IsUsable = false
 			}
 		}
--- a/internal/schedule/steward/order.go
+++ b/internal/schedule/steward/order.go
@@ -129,7 +129,7 @@
 		var cands []upkeep.Candidate
 		for _, name := range wav.request.Machines {
 			mac, ok := stw.machines[name]
-			if !ok || !mac.IsUp || stw.heldBack[name] || wav.done[name] || stw.tasks[name] != nil || now.Before(wav.stays[name]) {
+			if !ok || !mac.IsUp || stw.isHeldBack(now, name) || wav.done[name] || stw.tasks[name] != nil || now.Before(wav.stays[name]) {
 				continue
 			}
 			cnd := load[mac.VM]
--- a/internal/schedule/steward/steward.go
+++ b/internal/schedule/steward/steward.go
@@ -77,9 +77,10 @@
 	// unsettled are records of an append without an answer.
 	unsettled []archive.Record
 	// recent are the machines ordered lately, with the time of the last order, and
-	// heldBack those that the steward before may have ordered lately.
+	// heldBack those that the steward before has ordered lately, with the time until
+	// which they are left alone.
 	recent   map[string]time.Time
-	heldBack map[string]bool
+	heldBack map[string]time.Time
 	mu       sync.Mutex
 	reports  map[string]report
 	arrivals *arrivals.Arrivals
@@ -125,7 +126,7 @@
 	stw := &Steward{
 		cfg: cfg, clm: clm, since: now, reports: map[string]report{}, arrivals: arrivals.New(), machines: map[string]directory.Machine{},
 		tasks: map[string]*errand{}, waves: map[int64]*wave{}, lost: make(chan struct{}),
-		recent: map[string]time.Time{}, heldBack: map[string]bool{},
+		recent: map[string]time.Time{}, heldBack: map[string]time.Time{},
 	}
 	if err := stw.append(ctx, nil); err != nil {
 		return nil, err
@@ -229,7 +230,6 @@
 func (stw *Steward) step(now time.Time) {
 	stw.list(now)
 	stw.mu.Lock()
-	stw.dropHeldBack(now)
 	stw.expire(now)
 	stw.planWaves(now)
 	stw.planMoves(now)
@@ -238,6 +238,7 @@
 	if len(ready) > 0 {
 		stw.order(now, ready)
 	}
+	stw.forgetRecent(now)
 	stw.reportWaves(now)
 }
 
@@ -343,7 +344,7 @@
 	for _, ern := range stw.tasks {
 		mac, ok := stw.machines[ern.machine]
 		isEmpty := empty[ern.vm] || ern.isOrdered || ern.isRestored && !mac.IsUp || stw.isStandby(mac.Pool)
-		if !ok || stw.heldBack[ern.machine] || !isEmpty || ern.isDone || ern.isBusy || now.Sub(ern.orderedAt) < orderRetry {
+		if !ok || stw.isHeldBack(now, ern.machine) || !isEmpty || ern.isDone || ern.isBusy || now.Sub(ern.orderedAt) < orderRetry {
 			continue
 		}
 		ern.isBusy = true
--- a/internal/schedule/steward/steward_test.go
+++ b/internal/schedule/steward/steward_test.go
@@ -208,3 +208,30 @@
 		}
 	})
 }
+
+// A steward that has been idle leaves nothing for its successor to keep away from.
+func TestIdleStewardHoldsNothingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newPlatform("gate", "haul")
+		first := open(t, store, plt, "first")
+		plt.run(first, 10*16000, time.Second)
+		plt.run(first, 0, orderLease+3*time.Second)
+		early := len(plt.orders)
+		if early == 0 {
+			t.Fatal("the first steward has moved nothing")
+		}
+		second := open(t, store, plt, "second")
+		changed := time.Now()
+		var all []string
+		for name := range plt.pools {
+			all = append(all, name)
+		}
+		second.Request(changed, upkeep.Wave{Number: 1, Machines: all, Cap: len(all), Within: time.Minute})
+		plt.run(second, 0, time.Second)
+		first.Close()
+		second.Close()
+		if got := len(plt.orders) - early; got != len(all) {
+			t.Errorf("%d of %d machines are ordered within a second", got, len(all))
+		}
+	})
+}
