--- a/internal/fleet/balance/balance.go
+++ b/internal/fleet/balance/balance.go
@@ -46,6 +46,7 @@
 	Late      int64        // thousandths of a core that the work which cannot could use
 	Forecast  int64        // thousandths of a core that arriving work will want soon
 	Incoming  int64        // thousandths of a core that are on their way
+	Missing   int64        // thousandths of a core of VMs that lasting tasks lack, one a VM
 	Arrived   arrivals.Sum // since the owner's term began
 	VMs       []VM
 }
@@ -61,6 +62,7 @@
 type account struct {
 	pool   *Pool
 	supply int64
+	taken  int64 // of the supply, by this decision
 	count  int
 }
 
@@ -69,7 +71,11 @@
 	if acc.pool.IsStandby {
 		return 0
 	}
-	return int64(headroom*float64(acc.pool.Wanted)) - acc.supply
+	work := int64(headroom*float64(acc.pool.Wanted)) - acc.supply
+	if lacks := acc.pool.Missing - acc.pool.Incoming - acc.taken; lacks > 0 {
+		return max(work, lacks)
+	}
+	return work
 }
 
 // lateDeficit returns what the pool misses for all its work.
@@ -147,6 +153,7 @@
 	best.supply -= vm.MilliCores
 	best.count--
 	taker.supply += vm.MilliCores
+	taker.taken += vm.MilliCores
 	return Transfer{VM: vm.ID, From: best.pool.Name, To: taker.pool.Name}, true
 }
 
--- a/internal/fleet/balance/balance_test.go
+++ b/internal/fleet/balance/balance_test.go
@@ -115,3 +115,18 @@
 		t.Errorf("%v: a pool that expects work itself gives VMs", got)
 	}
 }
+
+// Lasting tasks of one step go to different VMs, so a pool may lack VMs though it has
+// cores to spare.
+func TestPoolGetsVMsForLastingTasks(t *testing.T) {
+	gate := pool("gate", 16000, 0, 6)
+	gate.Missing = 2 * 16000
+	got := balance.Decide(now, []balance.Pool{gate, pool("haul", 0, 7, 0)})
+	if len(got) != 2 || got[0].To != "gate" || got[1].To != "gate" {
+		t.Errorf("%v, want two VMs for gate", got)
+	}
+	gate.Incoming = 2 * 16000
+	if got := balance.Decide(now, []balance.Pool{gate, pool("haul", 0, 7, 0)}); len(got) > 0 {
+		t.Errorf("%v while they are on their way", got)
+	}
+}
--- a/internal/schedule/cell/leaving_test.go
+++ b/internal/schedule/cell/leaving_test.go
@@ -30,3 +30,22 @@
 		t.Errorf("orders %+v, want one stop: only one task may be away", orders)
 	}
 }
+
+func TestPoolReportsVMsThatLastingTasksLack(t *testing.T) {
+	cel, _ := newCell(true)
+	settle(start, cel, vm("a", 1), vm("b", 1))
+	stp := step(3, 100)
+	stp.IsLasting, stp.MaxPerVM = true, 1
+	accept(start, cel, stp)
+	if got := len(starts(cel.Plan(start))); got != 2 {
+		t.Fatalf("%d starts, want one on each VM", got)
+	}
+	if got := cel.Pool(start).Missing; got != 4000 {
+		t.Errorf("%d thousandths of a core are missing, want one VM of 4000", got)
+	}
+	settle(start, cel, vm("a", 1), vm("b", 1), vm("c", 1))
+	cel.Plan(start)
+	if got := cel.Pool(start).Missing; got != 0 {
+		t.Errorf("%d thousandths of a core are missing once all tasks have a VM", got)
+	}
+}
--- a/internal/schedule/cell/place.go
+++ b/internal/schedule/cell/place.go
@@ -126,6 +126,7 @@
 	if !cel.isAllowed(stg) {
 		return orders
 	}
+	stg.isStarved = false
 	if stg.step.IsGang {
 		return cel.placeGang(now, stg, orders)
 	}
--- a/internal/schedule/cell/pool.go
+++ b/internal/schedule/cell/pool.go
@@ -27,8 +27,15 @@
 		}
 		pol.VMs = append(pol.VMs, vm)
 	}
+	missing := int64(0)
 	for stg := range cel.open {
 		cel.addWanted(now, &pol, stg, len(stg.works)-stg.doneCount)
+		if stg.isStarved && stg.step.IsLasting {
+			missing += int64(stg.waitCount)
+		}
+	}
+	if len(pol.VMs) > 0 {
+		pol.Missing = missing * pol.VMs[0].MilliCores
 	}
 	return pol
 }
--- a/internal/schedule/cell/state.go
+++ b/internal/schedule/cell/state.go
@@ -52,6 +52,7 @@
 	doneCount  int
 	waitCount  int // works in phase waiting
 	isOpen     bool
+	isStarved  bool      // the last plan found no VM for a task that waits
 	startedAt  time.Time // of the task that was started last
 }
 
--- a/internal/schedule/cell/zone.go
+++ b/internal/schedule/cell/zone.go
@@ -68,6 +68,7 @@
 // to be recorded as running there too.
 func (cel *Cell) missed(stg *stage, wrk *work, mss misses) {
 	mss.add(stg)
+	stg.isStarved = true
 	ent := stg.job
 	if ent.home == "" || ent.wish != "" || mss.isEverywhere(stg.step) {
 		return
--- a/internal/schedule/service/fleet.go
+++ b/internal/schedule/service/fleet.go
@@ -169,12 +169,13 @@
 
 // poolForm is a report between entries. Times are ages, as clocks differ.
 type poolForm struct {
-	Name   string   `json:"name"`
-	Wanted int64    `json:"wantedMilliCores"`
-	Late   int64    `json:"lateMilliCores,omitempty"`
-	Work   int64    `json:"arrivedMilliCoreSeconds"`
-	Jobs   int64    `json:"arrivedJobs"`
-	VMs    []vmForm `json:"vms"`
+	Name    string   `json:"name"`
+	Wanted  int64    `json:"wantedMilliCores"`
+	Late    int64    `json:"lateMilliCores,omitempty"`
+	Missing int64    `json:"missingMilliCores,omitempty"`
+	Work    int64    `json:"arrivedMilliCoreSeconds"`
+	Jobs    int64    `json:"arrivedJobs"`
+	VMs     []vmForm `json:"vms"`
 }
 
 type vmForm struct {
@@ -198,7 +199,7 @@
 const longestAge = time.Hour
 
 func formOf(now time.Time, pol balance.Pool) poolForm {
-	frm := poolForm{Name: pol.Name, Wanted: pol.Wanted, Late: pol.Late, Work: pol.Arrived.Work, Jobs: pol.Arrived.Jobs, VMs: make([]vmForm, 0, len(pol.VMs))}
+	frm := poolForm{Name: pol.Name, Wanted: pol.Wanted, Late: pol.Late, Missing: pol.Missing, Work: pol.Arrived.Work, Jobs: pol.Arrived.Jobs, VMs: make([]vmForm, 0, len(pol.VMs))}
 	for _, vm := range pol.VMs {
 		frm.VMs = append(frm.VMs, vmForm{
 			ID: vm.ID, MilliCores: vm.MilliCores, Tasks: vm.Tasks, Lasting: vm.Lasting,
@@ -209,7 +210,7 @@
 }
 
 func poolOf(now time.Time, frm poolForm) balance.Pool {
-	pol := balance.Pool{Name: frm.Name, Wanted: frm.Wanted, Late: frm.Late, Arrived: arrivals.Sum{Work: frm.Work, Jobs: frm.Jobs}}
+	pol := balance.Pool{Name: frm.Name, Wanted: frm.Wanted, Late: frm.Late, Missing: frm.Missing, Arrived: arrivals.Sum{Work: frm.Work, Jobs: frm.Jobs}}
 	for _, vm := range frm.VMs {
 		pol.VMs = append(pol.VMs, balance.VM{
 			ID: vm.ID, MilliCores: vm.MilliCores, Tasks: vm.Tasks, Lasting: vm.Lasting,
