Order as many machines a second as the platform takes

The rate now comes from the platform's settings and bounds moves and maintenance together. Owners start 0.7 s after their process (1.1 s).

--- a/internal/fleet/balance/balance.go
+++ b/internal/fleet/balance/balance.go
@@ -22,8 +22,6 @@
 	// restAfterMove is how long a VM stays in its new pool: the price of a move is
 	// that of about a second of a VM.
 	restAfterMove = time.Second
-	// perRound bounds the moves of one decision.
-	perRound = 16
 )
 
 // VM is a VM of a pool as its owner sees it.
@@ -94,8 +92,8 @@
 	return int64(headroom*float64(max(acc.pool.Wanted, acc.pool.Forecast))) - acc.supply
 }
 
-// Decide returns the transfers that should begin now.
-func Decide(now time.Time, pools []Pool) []Transfer {
+// Decide returns the transfers that should begin now, most of them at most.
+func Decide(now time.Time, pools []Pool, most int) []Transfer {
 	if len(pools) == 0 {
 		return nil
 	}
@@ -110,7 +108,7 @@
 		}
 		accounts = append(accounts, acc)
 	}
-	transfers := serve(now, accounts, nil, (*account).deficit, false)
+	transfers := serve(now, accounts, make([]Transfer, 0, most), (*account).deficit, false)
 	transfers = serve(now, accounts, transfers, (*account).forecastDeficit, true)
 	return serve(now, accounts, transfers, (*account).lateDeficit, true)
 }
@@ -118,7 +116,7 @@
 // serve gives VMs to the pools that miss most. Late work, and work that has not come
 // yet, get only VMs that are idle, and none from the spare pool.
 func serve(now time.Time, accounts []*account, transfers []Transfer, missing func(*account) int64, isIdle bool) []Transfer {
-	for len(transfers) < perRound {
+	for len(transfers) < cap(transfers) {
 		taker := slices.MaxFunc(accounts, func(one, two *account) int { return cmp.Compare(missing(one), missing(two)) })
 		if missing(taker) <= 0 {
 			break
--- a/internal/fleet/balance/balance_test.go
+++ b/internal/fleet/balance/balance_test.go
@@ -10,6 +10,9 @@
 
 var now = time.Unix(1000, 0)
 
+// most is more moves than any test but one asks for.
+const most = 16
+
 func pool(name string, wanted int64, idle, busy int) balance.Pool {
 	pol := balance.Pool{Name: name, Wanted: wanted}
 	for i := range idle + busy {
@@ -25,7 +28,7 @@
 func TestIdleVMsFollowTheTurn(t *testing.T) {
 	spare := pool("spare", 0, 2, 0)
 	spare.IsStandby = true
-	got := balance.Decide(now, []balance.Pool{pool("gate", 160000, 0, 6), pool("haul", 0, 7, 2), spare})
+	got := balance.Decide(now, []balance.Pool{pool("gate", 160000, 0, 6), pool("haul", 0, 7, 2), spare}, most)
 	from := map[string]int{}
 	for _, trf := range got {
 		if trf.To != "gate" {
@@ -49,7 +52,7 @@
 		{"both are short", []balance.Pool{pool("gate", 900000, 1, 6), pool("haul", 900000, 1, 6)}},
 		{"the last VMs stay", []balance.Pool{pool("gate", 900000, 0, 6), pool("haul", 0, 2, 0)}},
 	} {
-		if got := balance.Decide(now, tst.pools); len(got) > 0 {
+		if got := balance.Decide(now, tst.pools, most); len(got) > 0 {
 			t.Errorf("%s: %v", tst.name, got)
 		}
 	}
@@ -60,7 +63,7 @@
 	for i := range late.VMs {
 		late.VMs[i].Tasks = 6 - i
 	}
-	got := balance.Decide(now, []balance.Pool{pool("gate", 120000, 0, 7), late})
+	got := balance.Decide(now, []balance.Pool{pool("gate", 120000, 0, 7), late}, most)
 	if len(got) != 2 || got[0].VM != "haul-5" || got[1].VM != "haul-4" {
 		t.Errorf("%v, want the two VMs that are empty soonest", got)
 	}
@@ -71,7 +74,7 @@
 	haul.VMs[0].Tasks = 1
 	gate := pool("gate", 16000, 0, 6)
 	gate.Late = 400000
-	got := balance.Decide(now, []balance.Pool{gate, haul})
+	got := balance.Decide(now, []balance.Pool{gate, haul}, most)
 	if len(got) != 3 {
 		t.Errorf("%v, want the idle VMs of haul but the two that it keeps", got)
 	}
@@ -87,7 +90,7 @@
 	for i := range haul.VMs {
 		haul.VMs[i].Since = now.Add(-100 * time.Millisecond)
 	}
-	if got := balance.Decide(now, []balance.Pool{pool("gate", 900000, 0, 6), haul}); len(got) > 0 {
+	if got := balance.Decide(now, []balance.Pool{pool("gate", 900000, 0, 6), haul}, most); len(got) > 0 {
 		t.Errorf("VMs that have just come move on: %v", got)
 	}
 }
@@ -102,7 +105,7 @@
 	haul, ticket := pool("haul", 16000, 5, 0), pool("ticket", 16000, 8, 0)
 	haul.VMs[0].Tasks = 1
 	ticket.Forecast = 900000
-	got := balance.Decide(now, []balance.Pool{gate, haul, spare})
+	got := balance.Decide(now, []balance.Pool{gate, haul, spare}, most)
 	if len(got) != 3 {
 		t.Errorf("%v, want the idle VMs of haul but the two that it keeps", got)
 	}
@@ -111,7 +114,7 @@
 			t.Errorf("%v for work that is only expected", trf)
 		}
 	}
-	if got := balance.Decide(now, []balance.Pool{gate, ticket}); len(got) > 0 {
+	if got := balance.Decide(now, []balance.Pool{gate, ticket}, most); len(got) > 0 {
 		t.Errorf("%v: a pool that expects work itself gives VMs", got)
 	}
 }
@@ -121,12 +124,22 @@
 func TestPoolGetsVMsForLastingTasks(t *testing.T) {
 	gate := pool("gate", 16000, 0, 6)
 	gate.Missing = 2 * 16000
-	got := balance.Decide(now, []balance.Pool{gate, pool("haul", 0, 7, 0)})
+	got := balance.Decide(now, []balance.Pool{gate, pool("haul", 0, 7, 0)}, most)
 	if len(got) != 2 || got[0].To != "gate" || got[1].To != "gate" {
 		t.Errorf("%v, want two VMs for gate", got)
 	}
 	gate.Incoming = 2 * 16000
-	if got := balance.Decide(now, []balance.Pool{gate, pool("haul", 0, 7, 0)}); len(got) > 0 {
+	if got := balance.Decide(now, []balance.Pool{gate, pool("haul", 0, 7, 0)}, most); len(got) > 0 {
 		t.Errorf("%v while they are on their way", got)
 	}
 }
+
+func TestMovesAreBounded(t *testing.T) {
+	pools := []balance.Pool{pool("gate", 900000, 0, 6), pool("haul", 0, 12, 0)}
+	if got := balance.Decide(now, pools, 3); len(got) != 3 {
+		t.Errorf("%d moves, want the 3 that may begin", len(got))
+	}
+	if got := balance.Decide(now, pools, 0); len(got) > 0 {
+		t.Errorf("%v though none may begin", got)
+	}
+}
--- a/internal/schedule/service/fleet.go
+++ b/internal/schedule/service/fleet.go
@@ -54,7 +54,7 @@
 		return
 	}
 	stw, err := steward.Open(ctx, time.Now(), steward.Config{
-		Holder: svc.cfg.Name, Address: svc.cfg.PeerAddress, Partition: group.PartitionOf(steward.Name, svc.cfg.Partitions), OrderLease: svc.cfg.OrderLease,
+		Holder: svc.cfg.Name, Address: svc.cfg.PeerAddress, Partition: group.PartitionOf(steward.Name, svc.cfg.Partitions), OrderLease: svc.cfg.OrderLease, OrderRate: svc.cfg.OrderRate,
 		Archive: svc.cfg.Archive, Directory: svc.cfg.Directory, Journal: svc.cfg.Journal, Table: svc.Table,
 	})
 	now := time.Now()
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -46,8 +46,8 @@
 	hostsEach    = 250 * time.Millisecond
 	hostsTimeout = 900 * time.Millisecond
 	// startDelay lets the members that start together find each other before
-	// pools are claimed: machines start within 0.3 s, and then two joins.
-	startDelay = 1100 * time.Millisecond
+	// pools are claimed: machines start within 0.3 s, and then one join.
+	startDelay = 700 * time.Millisecond
 	// reopenAfter is the pause before a pool that was lost or not opened is
 	// claimed again.
 	reopenAfter = 400 * time.Millisecond
@@ -69,6 +69,7 @@
 	MilliCores  int // of the processor that the entry may use
 	LeaseMax    time.Duration
 	OrderLease  time.Duration
+	OrderRate   float64 // orders for machines a second, of the whole fleet
 	StatusKept  time.Duration
 	Archive     archive.Client
 	Directory   directory.Client
--- a/internal/schedule/steward/moves.go
+++ b/internal/schedule/steward/moves.go
@@ -18,7 +18,7 @@
 	names := stw.namesOfVMs()
 	pools := append(stw.sparePools(now, tab, names), stw.reportedPools(now, names)...)
 	stw.logPools(now, pools)
-	for _, trf := range balance.Decide(now, pools) {
+	for _, trf := range balance.Decide(now, pools, stw.perRound()) {
 		mac := stw.machines[names[trf.VM]]
 		stw.tasks[mac.Name] = &errand{machine: mac.Name, vm: mac.VM, pool: trf.To, began: now, milli: mac.MilliCores}
 		stw.cfg.Journal.Event(now, "moveBegun", slog.String("machine", mac.Name), slog.String("vm", trf.VM),
--- a/internal/schedule/steward/steward.go
+++ b/internal/schedule/steward/steward.go
@@ -55,12 +55,17 @@
 	stayPause   = 3 * time.Second
 )
 
+// orderShare is the part of the platform's rate that is used; the rest is for orders
+// that are repeated.
+const orderShare = 0.9
+
 // Config holds what a Steward needs.
 type Config struct {
 	Holder     string // name of this entry in orders
 	Address    string
 	Partition  int
 	OrderLease time.Duration // two holders keep that far apart
+	OrderRate  float64       // orders for machines that the platform takes in a second
 	Archive    archive.Client
 	Directory  directory.Client
 	Journal    *journal.Journal
@@ -342,6 +347,9 @@
 	}
 	var ready []*errand
 	for _, ern := range stw.tasks {
+		if len(ready) == stw.perRound() {
+			break
+		}
 		mac, ok := stw.machines[ern.machine]
 		isEmpty := empty[ern.vm] || ern.isOrdered || ern.isRestored && !mac.IsUp || stw.isStandby(mac.Pool)
 		if !ok || stw.isHeldBack(now, ern.machine) || !isEmpty || ern.isDone || ern.isBusy || now.Sub(ern.orderedAt) < orderRetry {
@@ -353,6 +361,9 @@
 	return ready
 }
 
+// perRound returns how many orders may go out in a round.
+func (stw *Steward) perRound() int { return max(1, int(orderShare*stw.cfg.OrderRate*round.Seconds())) }
+
 func (stw *Steward) isStandby(pool string) bool {
 	tab := stw.cfg.Table()
 	if tab == nil {
--- a/internal/schedule/steward/steward_test.go
+++ b/internal/schedule/steward/steward_test.go
@@ -17,7 +17,10 @@
 	"daisywheel/internal/standin/logstore"
 )
 
-const orderLease = 3 * time.Second
+const (
+	orderLease = 3 * time.Second
+	orderRate  = 100
+)
 
 // order is one order as the platform saw it.
 type order struct {
@@ -125,7 +128,7 @@
 	t.Helper()
 	tab := queue.NewTable(1, nil, []queue.Service{{Name: "gate"}, {Name: "haul"}})
 	stw, err := steward.Open(t.Context(), time.Now(), steward.Config{
-		Holder: name, Address: name, OrderLease: orderLease, Archive: store.Client(), Directory: plt.directory(),
+		Holder: name, Address: name, OrderLease: orderLease, OrderRate: orderRate, Archive: store.Client(), Directory: plt.directory(),
 		Journal: journal.New(journal.Config{}), Table: func() *queue.Table { return tab },
 	})
 	if err != nil {
