--- a/internal/schedule/steward/order.go
+++ b/internal/schedule/steward/order.go
@@ -128,11 +128,10 @@
 		free := wav.request.Cap - stw.under(number)
 		var cands []upkeep.Candidate
 		for _, name := range wav.request.Machines {
-			mac, ok := stw.machines[name]
-			if !ok || !mac.IsUp || stw.isHeldBack(now, name) || wav.done[name] || stw.tasks[name] != nil || now.Before(wav.stays[name]) {
+			if !stw.isNext(now, wav, name) {
 				continue
 			}
-			cnd := load[mac.VM]
+			cnd := load[stw.machines[name].VM]
 			cnd.Machine = name
 			cands = append(cands, cnd)
 		}
@@ -143,6 +142,22 @@
 	}
 }
 
+// isNext reports whether the machine may be emptied for the wave now.
+func (stw *Steward) isNext(now time.Time, wav *wave, name string) bool {
+	mac, ok := stw.machines[name]
+	return ok && mac.IsUp && !stw.isHeldBack(now, name) && !wav.done[name] && stw.tasks[name] == nil && !now.Before(wav.stays[name])
+}
+
+// isAnyLeft reports whether a machine of the wave is not being emptied yet.
+func (stw *Steward) isAnyLeft(now time.Time, wav *wave) bool {
+	for _, name := range wav.request.Machines {
+		if stw.isNext(now, wav, name) {
+			return true
+		}
+	}
+	return false
+}
+
 // under returns how many machines of the wave are being emptied or are down.
 func (stw *Steward) under(number int64) int {
 	count := 0
--- a/internal/schedule/steward/steward.go
+++ b/internal/schedule/steward/steward.go
@@ -50,7 +50,8 @@
 	// moveWithin is how long a move may take in all; the platform's takes 1.5 s.
 	moveWithin = 8 * time.Second
 	// drainWithin is how long a VM may take to be emptied for maintenance before
-	// another one takes its place, and stayPause how long until it is tried again.
+	// another one takes its place, if any is left, and stayPause how long until it is
+	// tried again.
 	drainWithin = 7 * time.Second
 	stayPause   = 3 * time.Second
 )
@@ -323,7 +324,7 @@
 		case ern.isBusy || ern.isRestored:
 			continue
 		case ern.wave == 0 && (age > moveWithin || !ern.isOrdered && age > emptyWithin):
-		case ern.wave > 0 && !ern.isOrdered && age > drainWithin:
+		case ern.wave > 0 && !ern.isOrdered && age > drainWithin && stw.isAnyLeft(now, stw.waveOf(ern.wave)):
 			stw.waveOf(ern.wave).stays[name] = now.Add(stayPause)
 		default:
 			continue
--- a/internal/schedule/steward/steward_test.go
+++ b/internal/schedule/steward/steward_test.go
@@ -38,6 +38,7 @@
 	lives  map[string]int
 	backAt map[string]time.Time
 	orders []order
+	busy   map[string]bool // machines with a task that does not end
 }
 
 const awayFor = 1500 * time.Millisecond
@@ -97,6 +98,13 @@
 	}
 }
 
+func tasksOf(isBusy bool) int {
+	if isBusy {
+		return 1
+	}
+	return 0
+}
+
 // report is what a pool's owner says, whose VMs are idle and empty.
 func (plt *platform) report(pool string, wanted int64) balance.Pool {
 	plt.mu.Lock()
@@ -104,7 +112,7 @@
 	pol := balance.Pool{Name: pool, Wanted: wanted}
 	for name, at := range plt.pools {
 		if at == pool && !time.Now().Before(plt.backAt[name]) {
-			pol.VMs = append(pol.VMs, balance.VM{ID: plt.vm(name), MilliCores: 16000, IsUsable: true, IsLeaving: false})
+			pol.VMs = append(pol.VMs, balance.VM{ID: plt.vm(name), MilliCores: 16000, IsUsable: true, Tasks: tasksOf(plt.busy[name])})
 		}
 	}
 	return pol
@@ -238,3 +246,26 @@
 		}
 	})
 }
+
+// A machine that is long in emptying gives its place to another one of the wave, but
+// it is not filled again when there is no other.
+func TestLastMachineOfAWaveIsEmptiedToTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newPlatform("gate", "haul")
+		plt.busy = map[string]bool{"gate-0": true}
+		stw := open(t, store, plt, "first")
+		stw.Request(time.Now(), upkeep.Wave{Number: 1, Machines: []string{"gate-0"}, Cap: 1, Within: time.Minute})
+		plt.run(stw, 0, 20*time.Second)
+		leaving, _ := stw.Report(time.Now(), plt.report("gate", 0))
+		if len(leaving) != 1 {
+			t.Errorf("VMs to be emptied: %v, want that of the wave", leaving)
+		}
+		stw.Request(time.Now(), upkeep.Wave{Number: 2, Machines: []string{"gate-0", "gate-1"}, Cap: 1, Within: time.Minute})
+		plt.busy = nil
+		plt.run(stw, 0, 20*time.Second)
+		stw.Close()
+		if len(plt.orders) != 3 {
+			t.Errorf("%d orders, want one for the first wave and two for the second", len(plt.orders))
+		}
+	})
+}
