--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -139,6 +139,16 @@
 	return nil
 }
 
+// Ask is Call for a question that may be asked twice: when a connection turns out to
+// be broken, it asks again over a new one.
+func (lnk *Link) Ask(ctx context.Context, address, method string, params, out any) error {
+	err := lnk.Call(ctx, address, method, params, out)
+	if err == nil || ctx.Err() != nil || fault.CodeOf(err) != code.PlatformError {
+		return err
+	}
+	return lnk.Call(ctx, address, method, params, out)
+}
+
 // Connect makes sure that there is a connection to the peer. When it fails, the
 // peer has been asked nothing.
 func (lnk *Link) Connect(ctx context.Context, address string) error {
--- /dev/null
+++ b/internal/peer/link/link_test.go
@@ -0,0 +1,62 @@
+package link_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"testing"
+
+	"daisywheel/internal/peer/link"
+	"daisywheel/internal/result/code"
+	"daisywheel/internal/result/fault"
+)
+
+func serve(t *testing.T, address string) *link.Link {
+	t.Helper()
+	lnk := link.New(link.Config{})
+	lnk.Handle("echo", func(_ context.Context, params json.RawMessage) (any, error) { return params, nil })
+	lnk.Handle("refuse", func(context.Context, json.RawMessage) (any, error) { return nil, fault.New(code.NotReady, "not here") })
+	if err := lnk.Listen(address); err != nil {
+		t.Fatal(err)
+	}
+	return lnk
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	lsn, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = lsn.Close() }()
+	return lsn.Addr().String()
+}
+
+// A connection that was reset says nothing of the peer, which may be well.
+func TestAskGoesOverANewConnection(t *testing.T) {
+	address := freeAddress(t)
+	peer := serve(t, address)
+	asker := link.New(link.Config{})
+	defer asker.Close()
+	var got string
+	if err := asker.Ask(t.Context(), address, "echo", "one", &got); err != nil || got != "one" {
+		t.Fatalf("answer %q, %v", got, err)
+	}
+	peer.Close()
+	peer = serve(t, address)
+	defer peer.Close()
+	if err := asker.Ask(t.Context(), address, "echo", "two", &got); err != nil || got != "two" {
+		t.Errorf("answer %q after the connection has ended, %v", got, err)
+	}
+}
+
+func TestAskTakesARefusalForAnAnswer(t *testing.T) {
+	address := freeAddress(t)
+	peer := serve(t, address)
+	defer peer.Close()
+	asker := link.New(link.Config{})
+	defer asker.Close()
+	if err := asker.Ask(t.Context(), address, "refuse", nil, nil); fault.CodeOf(err) != code.NotReady {
+		t.Errorf("%v, want the peer's refusal", err)
+	}
+}
--- a/internal/schedule/service/probe.go
+++ b/internal/schedule/service/probe.go
@@ -58,7 +58,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	var answer bool
-	err = svc.link.Call(ctx, address, methodAlive, aliveForm{Name: name, Grade: group.GradeOf(svc.cfg.MilliCores)}, &answer)
+	err = svc.link.Ask(ctx, address, methodAlive, aliveForm{Name: name, Grade: group.GradeOf(svc.cfg.MilliCores)}, &answer)
 	if err != nil || !answer {
 		svc.cfg.Journal.Event(time.Now(), "ownerNotAlive", slog.String("name", name), slog.String("address", address), slog.Bool("answered", err == nil))
 	}
