--- a/internal/fleet/upkeep/upkeep.go
+++ b/internal/fleet/upkeep/upkeep.go
@@ -23,15 +23,34 @@
 	Lasting int // of the tasks: each is restarted elsewhere
 }
 
-// Next returns the machines that should be emptied now, at most free of them: the
-// ones that interrupt least.
-func Next(cands []Candidate, free int) []string {
+// lastingShare of the cap is used for machines with lasting tasks from the start, as
+// one in so many. Only few tasks of a step may be away at once, so these machines
+// take longest to empty; left to the end, they would be late.
+const lastingShare = 8
+
+// Room is what may be emptied now.
+type Room struct {
+	Cap     int // of the wave
+	Free    int // machines that may be emptied in addition
+	Lasting int // machines with lasting tasks that are being emptied
+}
+
+// Next returns the machines that should be emptied now: some with lasting tasks, and
+// otherwise the ones that interrupt least.
+func Next(cands []Candidate, rom Room) []string {
 	list := slices.Clone(cands)
 	slices.SortStableFunc(list, func(one, two Candidate) int {
 		return cmp.Or(one.Lasting-two.Lasting, one.Tasks-two.Tasks, cmp.Compare(one.Machine, two.Machine))
 	})
+	free := max(0, min(rom.Free, len(list)))
+	slow := min(free, max(0, max(1, rom.Cap/lastingShare)-rom.Lasting))
+	first := slices.IndexFunc(list, func(cnd Candidate) bool { return cnd.Lasting > 0 })
+	if first > free-slow {
+		slow = min(slow, len(list)-first)
+		list = slices.Concat(list[:free-slow], list[first:first+slow])
+	}
 	var next []string
-	for _, cnd := range list[:max(0, min(free, len(list)))] {
+	for _, cnd := range list[:min(free, len(list))] {
 		next = append(next, cnd.Machine)
 	}
 	return next
--- a/internal/fleet/upkeep/upkeep_test.go
+++ b/internal/fleet/upkeep/upkeep_test.go
@@ -1,6 +1,7 @@
 package upkeep_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
@@ -14,8 +15,44 @@
 	order := []string{"idle", "calm", "busy", "lasting"}
 	for free := -1; free <= 5; free++ {
 		want := order[:max(0, min(free, len(order)))]
-		if got := upkeep.Next(cands, free); !slices.Equal(got, want) {
+		if got := upkeep.Next(cands, upkeep.Room{Cap: 8, Free: free, Lasting: 1}); !slices.Equal(got, want) {
 			t.Errorf("%d may go down: %v, want %v", free, got, want)
 		}
 	}
 }
+
+// Machines with lasting tasks are slow to empty, so a few of them are always under
+// way, and they never take the places of all others.
+func TestSomeWithLastingTasksBeginEarly(t *testing.T) {
+	var cands []upkeep.Candidate
+	for i := range 40 {
+		cands = append(cands, upkeep.Candidate{Machine: fmt.Sprintf("m-%02d", i), Lasting: i % 2})
+	}
+	count := func(rom upkeep.Room) (lasting, all int) {
+		next := upkeep.Next(cands, rom)
+		for _, cnd := range cands {
+			if slices.Contains(next, cnd.Machine) {
+				lasting += cnd.Lasting
+				all++
+			}
+		}
+		if all != len(next) {
+			t.Errorf("%v names a machine twice", next)
+		}
+		return lasting, all
+	}
+	for _, tst := range []struct {
+		rom           upkeep.Room
+		lasting, most int
+	}{
+		{upkeep.Room{Cap: 16, Free: 16}, 2, 16},
+		{upkeep.Room{Cap: 16, Free: 10, Lasting: 2}, 0, 10},
+		{upkeep.Room{Cap: 2, Free: 2}, 1, 2},
+		{upkeep.Room{Cap: 32, Free: 32}, 12, 32},
+		{upkeep.Room{Cap: 16, Free: 0}, 0, 0},
+	} {
+		if lasting, all := count(tst.rom); lasting != tst.lasting || all != tst.most {
+			t.Errorf("%+v: %d machines, %d with lasting tasks, want %d and %d", tst.rom, all, lasting, tst.most, tst.lasting)
+		}
+	}
+}
--- a/internal/schedule/steward/order.go
+++ b/internal/schedule/steward/order.go
@@ -113,12 +113,7 @@
 
 // planWaves begins to empty the machines that are next.
 func (stw *Steward) planWaves(now time.Time) {
-	load := map[string]upkeep.Candidate{}
-	for _, rpt := range stw.reports {
-		for _, vm := range rpt.pool.VMs {
-			load[vm.ID] = upkeep.Candidate{Tasks: vm.Tasks, Lasting: vm.Lasting}
-		}
-	}
+	load := stw.load()
 	for number, wav := range stw.waves {
 		if !wav.isAsked {
 			continue
@@ -135,13 +130,24 @@
 			cnd.Machine = name
 			cands = append(cands, cnd)
 		}
-		for _, name := range upkeep.Next(cands, free) {
+		for _, name := range upkeep.Next(cands, upkeep.Room{Cap: wav.request.Cap, Free: free, Lasting: stw.slow(number, load)}) {
 			stw.tasks[name] = &errand{machine: name, vm: stw.machines[name].VM, wave: number, began: now}
 			stw.cfg.Journal.Event(now, "upkeepBegun", slog.Int64("wave", number), slog.String("machine", name))
 		}
 	}
 }
 
+// load returns what runs on each VM, by the latest reports.
+func (stw *Steward) load() map[string]upkeep.Candidate {
+	load := map[string]upkeep.Candidate{}
+	for _, rpt := range stw.reports {
+		for _, vm := range rpt.pool.VMs {
+			load[vm.ID] = upkeep.Candidate{Tasks: vm.Tasks, Lasting: vm.Lasting}
+		}
+	}
+	return load
+}
+
 // isNext reports whether the machine may be emptied for the wave now.
 func (stw *Steward) isNext(now time.Time, wav *wave, name string) bool {
 	mac, ok := stw.machines[name]
@@ -158,6 +164,17 @@
 	return false
 }
 
+// slow returns how many machines of the wave with lasting tasks are being emptied.
+func (stw *Steward) slow(number int64, load map[string]upkeep.Candidate) int {
+	count := 0
+	for _, ern := range stw.tasks {
+		if ern.wave == number && !ern.isOrdered && load[ern.vm].Lasting > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // under returns how many machines of the wave are being emptied or are down.
 func (stw *Steward) under(number int64) int {
 	count := 0
--- a/internal/schedule/steward/steward.go
+++ b/internal/schedule/steward/steward.go
@@ -54,6 +54,9 @@
 	// tried again.
 	drainWithin = 7 * time.Second
 	stayPause   = 3 * time.Second
+	// moveOutWithin is the same for a VM with lasting tasks, which leave one after the
+	// other, each when those of its step that are away have been restarted.
+	moveOutWithin = 15 * time.Second
 )
 
 // orderShare is the part of the platform's rate that is used; the rest is for orders
@@ -318,13 +321,17 @@
 // expire gives up what takes too long: a VM that cannot be emptied, or a machine
 // that does not come back from a move.
 func (stw *Steward) expire(now time.Time) {
+	load := stw.load()
 	for name, ern := range stw.tasks {
-		age := now.Sub(ern.began)
+		age, limit := now.Sub(ern.began), drainWithin
+		if load[ern.vm].Lasting > 0 {
+			limit = moveOutWithin
+		}
 		switch {
 		case ern.isBusy || ern.isRestored:
 			continue
 		case ern.wave == 0 && (age > moveWithin || !ern.isOrdered && age > emptyWithin):
-		case ern.wave > 0 && !ern.isOrdered && age > drainWithin && stw.isAnyLeft(now, stw.waveOf(ern.wave)):
+		case ern.wave > 0 && !ern.isOrdered && age > limit && stw.isAnyLeft(now, stw.waveOf(ern.wave)):
 			stw.waveOf(ern.wave).stays[name] = now.Add(stayPause)
 		default:
 			continue
