--- a/internal/event/journal/journal.go
+++ b/internal/event/journal/journal.go
@@ -14,6 +14,10 @@
 	"daisywheel/internal/kernel/ring"
 )
 
+// rareLines of each kind are written in a second whatever else is, so that a surge of
+// lines on jobs does not hide that an owner has changed.
+const rareLines = 5
+
 // ringSize is how many lines may wait for a slow reader of the journal.
 const ringSize = 4096
 
@@ -22,8 +26,8 @@
 	Out     io.Writer
 	Process string
 	Zone    string
-	// MaxPerSecond bounds the lines of a second; 0 sets no bound. The first line of
-	// the next second tells how many were left out.
+	// MaxPerSecond bounds the lines of a second, beside some of each kind; 0 sets no
+	// bound. The first line of the next second tells how many were left out.
 	MaxPerSecond int
 }
 
@@ -38,6 +42,7 @@
 	mu      sync.Mutex
 	second  int64 // Unix time of the lines that are counted
 	lately  int
+	kinds   map[string]int // lines of the second by kind
 	skipped int
 	quit    chan struct{}
 	done    chan struct{}
@@ -46,7 +51,7 @@
 // New returns a Journal that writes to cfg.Out until it is closed.
 func New(cfg Config) *Journal {
 	jnl := &Journal{
-		most: cfg.MaxPerSecond, lines: ring.New[[]byte](ringSize), quit: make(chan struct{}), done: make(chan struct{}),
+		most: cfg.MaxPerSecond, kinds: map[string]int{}, lines: ring.New[[]byte](ringSize), quit: make(chan struct{}), done: make(chan struct{}),
 	}
 	var sink io.Writer = jnl
 	if cfg.Out == nil {
@@ -106,7 +111,7 @@
 }
 
 func (jnl *Journal) write(now time.Time, level slog.Level, kind string, attrs []slog.Attr) {
-	isAdmitted, skipped := jnl.admit(now)
+	isAdmitted, skipped := jnl.admit(now, kind)
 	if skipped > 0 {
 		jnl.emit(now, slog.LevelWarn, "linesLeftOut", []slog.Attr{slog.Int("count", skipped)})
 	}
@@ -117,7 +122,7 @@
 
 // admit reports whether the second has room for one more line, and how many lines
 // were left out in the second before, once.
-func (jnl *Journal) admit(now time.Time) (isAdmitted bool, skipped int) {
+func (jnl *Journal) admit(now time.Time, kind string) (isAdmitted bool, skipped int) {
 	if jnl.most == 0 {
 		return true, 0
 	}
@@ -126,8 +131,11 @@
 	if second := now.Unix(); second != jnl.second {
 		skipped, jnl.skipped = jnl.skipped, 0
 		jnl.second, jnl.lately = second, 0
+		clear(jnl.kinds)
 	}
-	if jnl.lately++; jnl.lately > jnl.most {
+	jnl.lately++
+	jnl.kinds[kind]++
+	if jnl.lately > jnl.most && jnl.kinds[kind] > rareLines {
 		jnl.skipped++
 		return false, skipped
 	}
--- a/internal/event/journal/journal_test.go
+++ b/internal/event/journal/journal_test.go
@@ -79,3 +79,23 @@
 		t.Errorf("%d lines, the eleventh %s; want 10, the count of 990 and the last", len(lines), lines[min(10, len(lines)-1)])
 	}
 }
+
+// A flood of lines of one kind must not hide rare ones of the same second.
+func TestRareLinesAreWrittenInAFlood(t *testing.T) {
+	var out bytes.Buffer
+	jnl := New(Config{Out: &out, MaxPerSecond: 10})
+	now := time.Unix(1000, 0)
+	for range 1000 {
+		jnl.Event(now, "busy")
+	}
+	for range 1000 {
+		jnl.Event(now, "rare")
+	}
+	jnl.Close()
+	if got := strings.Count(out.String(), `"rare"`); got != rareLines {
+		t.Errorf("%d rare lines, want %d", got, rareLines)
+	}
+	if got := strings.Count(out.String(), `"busy"`); got != 10 {
+		t.Errorf("%d lines of the flood, want 10", got)
+	}
+}
