--- a/internal/schedule/cell/pool.go
+++ b/internal/schedule/cell/pool.go
@@ -54,7 +54,7 @@
 func (cel *Cell) SetLeaving(now time.Time, leaving map[string]bool) {
 	for id, mac := range cel.vms {
 		if mac.isLeaving != leaving[id] {
-			mac.isLeaving, mac.leavingAt = leaving[id], now
+			mac.isLeaving, mac.leavingAt, mac.isHeldUp = leaving[id], now, false
 			cel.cfg.Event(now, "vmLeaving", slog.String("vm", id), slog.Bool("leaving", mac.isLeaving), slog.Int("tasks", len(mac.works)))
 		}
 	}
@@ -67,9 +67,14 @@
 			continue
 		}
 		for _, wrk := range mac.works {
-			if wrk.phase == running && wrk.step.step.IsLasting && cel.isMovable(now, wrk) {
+			if wrk.phase != running || !wrk.step.step.IsLasting {
+				continue
+			}
+			if cel.isMovable(now, wrk) {
 				cel.stop(wrk)
+				continue
 			}
+			cel.noteHeldUp(now, wrk)
 		}
 	}
 }
@@ -83,15 +88,35 @@
 // step are away than the caller allows, and another VM has room for it or it has
 // waited for that.
 func (cel *Cell) isMovable(now time.Time, wrk *work) bool {
-	away := 0
-	for i := range wrk.step.works {
-		other := &wrk.step.works[i]
-		if other != wrk && (other.phase != running || other.percent < fullPace) {
-			away++
-		}
-	}
-	if away >= max(1, wrk.step.step.MaxAway) {
+	if wrk.step.away(wrk) >= max(1, wrk.step.step.MaxAway) {
 		return false
 	}
 	return now.Sub(wrk.vm.leavingAt) > roomWait || cel.choose(wrk.step, wrk) != nil
 }
+
+// away returns how many other tasks of the stage are not at work.
+func (stg *stage) away(but *work) int {
+	count := 0
+	for i := range stg.works {
+		other := &stg.works[i]
+		if other != but && (other.phase != running || other.percent < fullPace) {
+			count++
+		}
+	}
+	return count
+}
+
+// heldUpAfter is how long a VM may take to be emptied before a line tells why.
+const heldUpAfter = 5 * time.Second
+
+// noteHeldUp tells once why a lasting task stays on a VM that is to be emptied.
+func (cel *Cell) noteHeldUp(now time.Time, wrk *work) {
+	mac := wrk.vm
+	if mac.isHeldUp || now.Sub(mac.leavingAt) < heldUpAfter {
+		return
+	}
+	mac.isHeldUp = true
+	cel.cfg.Event(now, "vmHeldUp", slog.String("vm", mac.host.ID), slog.String("task", wrk.id.String()),
+		slog.Int("away", wrk.step.away(wrk)), slog.Int("mayBeAway", wrk.step.step.MaxAway),
+		slog.Int("waiting", wrk.step.waitCount), slog.Int("tasks", len(wrk.step.works)))
+}
--- a/internal/schedule/cell/state.go
+++ b/internal/schedule/cell/state.go
@@ -99,6 +99,7 @@
 	isSilent   bool // the last look got no answer
 	isLeaving  bool // it is to be emptied for maintenance or a move
 	leavingAt  time.Time
+	isHeldUp   bool // it has been told why it takes long to be emptied
 	born       int64
 	clock      time.Duration // at clockAt
 	clockAt    time.Time
