--- a/internal/schedule/cell/leaving_test.go
+++ b/internal/schedule/cell/leaving_test.go
@@ -49,3 +49,23 @@
 		t.Errorf("%d thousandths of a core are missing once all tasks have a VM", got)
 	}
 }
+
+// Tasks of a step leave their VMs one after the other, so the time until one is seen
+// at work again bounds a maintenance wave.
+func TestStartingLastingTaskIsLookedAtOften(t *testing.T) {
+	cel, _ := newCell(true)
+	settle(start, cel, vm("a", 1))
+	stp := step(1, 100)
+	stp.IsLasting = true
+	accept(start, cel, stp)
+	ord := starts(cel.Plan(start))[0]
+	cel.Started(start, ord, agent.Done)
+	wait := func(percent int) time.Duration {
+		cel.Report(start, start, "a", agent.Report{Born: 1, Active: []agent.Run{{Task: ord.Task, Number: ord.Run, Percent: percent}}})
+		_, hld, _ := cel.Hold(start, "a")
+		return hld.Wait
+	}
+	if starting, atWork := wait(40), wait(100); starting > 500*time.Millisecond || atWork < 4*starting {
+		t.Errorf("looks wait %s for a task that starts and %s for one at work", starting, atWork)
+	}
+}
--- a/internal/schedule/cell/report.go
+++ b/internal/schedule/cell/report.go
@@ -205,16 +205,23 @@
 	// busyWait is the same for a VM with tasks that end, most of which do within it.
 	// A look that is lost costs as much.
 	busyWait = 600 * time.Millisecond
+	// startupWait is the same for a VM with a lasting task that is not at work yet: the
+	// next task of its step may leave its VM only when it is.
+	startupWait = 300 * time.Millisecond
 )
 
 // lookWait returns how long the next look may wait for an end.
 func (mac *machine) lookWait() time.Duration {
+	wait := idleWait
 	for _, wrk := range mac.works {
-		if !wrk.step.step.IsLasting || wrk.phase != running {
-			return busyWait
+		switch {
+		case wrk.step.step.IsLasting && wrk.percent < fullPace:
+			return startupWait
+		case !wrk.step.step.IsLasting || wrk.phase != running:
+			wait = busyWait
 		}
 	}
-	return idleWait
+	return wait
 }
 
 func (cel *Cell) target(mac *machine) agent.Target {
