--- /dev/null
+++ b/internal/schedule/steward/errand.go
@@ -0,0 +1,96 @@
+package steward
+
+import (
+	"log/slog"
+	"time"
+)
+
+// errand is something that is to be done with a machine.
+type errand struct {
+	machine   string
+	vm        string // its life when the errand began
+	pool      string // where it goes, for a move
+	wave      int64  // for maintenance
+	began     time.Time
+	orderedAt time.Time // of the last order
+	isOrdered bool      // an order may have been carried out
+	isDone    bool      // the order was carried out; the machine is not back yet
+	isBusy    bool      // an order is in flight
+	// isRestored tells that an earlier steward may have ordered it.
+	isRestored bool
+	milli      int64
+}
+
+// complete ends the errands of machines that are back in another life.
+func (stw *Steward) complete(now time.Time) {
+	for name, ern := range stw.tasks {
+		mac, ok := stw.machines[name]
+		isBack := ok && mac.IsUp && mac.VM != ern.vm && mac.VM != ""
+		switch {
+		case !ok || isBack && (ern.isDone || ern.wave == 0 && ern.isOrdered):
+			stw.finish(now, ern, ok)
+		case isBack:
+			ern.vm = mac.VM // it has started anew by itself
+		}
+	}
+}
+
+func (stw *Steward) finish(now time.Time, ern *errand, isListed bool) {
+	delete(stw.tasks, ern.machine)
+	stw.cfg.Journal.Event(now, "machineBack", slog.String("machine", ern.machine), slog.Int64("wave", ern.wave),
+		slog.String("pool", ern.pool), slog.Bool("listed", isListed), slog.Duration("after", now.Sub(ern.began)))
+}
+
+// expire gives up what takes too long: a VM that cannot be emptied, or a machine
+// that does not come back from a move.
+func (stw *Steward) expire(now time.Time) {
+	load := stw.load()
+	for name, ern := range stw.tasks {
+		age, limit := now.Sub(ern.began), drainWithin
+		if load[ern.vm].Lasting > 0 {
+			limit = moveOutWithin
+		}
+		switch {
+		case ern.isBusy || ern.isRestored:
+			continue
+		case ern.wave == 0 && (age > moveWithin || !ern.isOrdered && age > emptyWithin):
+		case ern.wave > 0 && !ern.isOrdered && age > limit && stw.isAnyLeft(now, stw.waveOf(ern.wave)):
+			stw.waveOf(ern.wave).stays[name] = now.Add(stayPause)
+		default:
+			continue
+		}
+		delete(stw.tasks, name)
+		stw.cfg.Journal.Event(now, "errandGivenUp", slog.String("machine", name), slog.String("vm", ern.vm),
+			slog.String("pool", ern.pool), slog.Int64("wave", ern.wave), slog.Bool("ordered", ern.isOrdered))
+	}
+}
+
+// ready returns the errands whose VM is empty.
+func (stw *Steward) ready(now time.Time) []*errand {
+	empty := map[string]bool{}
+	for _, rpt := range stw.reports {
+		if now.Sub(rpt.at) > reportAge {
+			continue
+		}
+		for _, vm := range rpt.pool.VMs {
+			empty[vm.ID] = vm.IsLeaving && vm.Tasks == 0
+		}
+	}
+	var ready []*errand
+	for _, ern := range stw.tasks {
+		if len(ready) == stw.perRound() {
+			break
+		}
+		mac, ok := stw.machines[ern.machine]
+		isEmpty := empty[ern.vm] || ern.isOrdered || ern.isRestored && !mac.IsUp || stw.isStandby(mac.Pool)
+		if !ok || stw.isHeldBack(now, ern.machine) || !isEmpty || ern.isDone || ern.isBusy || now.Sub(ern.orderedAt) < orderRetry {
+			continue
+		}
+		ern.isBusy = true
+		ready = append(ready, ern)
+	}
+	return ready
+}
+
+// perRound returns how many orders may go out in a round.
+func (stw *Steward) perRound() int { return max(1, int(orderShare*stw.cfg.OrderRate*round.Seconds())) }
--- a/internal/schedule/steward/order.go
+++ b/internal/schedule/steward/order.go
@@ -12,7 +12,6 @@
 	"golang.org/x/sys/unix"
 
 	"daisywheel/internal/fleet/directory"
-	"daisywheel/internal/fleet/upkeep"
 	"daisywheel/internal/schedule/archive"
 )
 
@@ -21,23 +20,6 @@
 
 const wavePrefix = "w/"
 
-// wave is a maintenance wave and how far it is.
-type wave struct {
-	request  upkeep.Wave
-	isAsked  bool                 // the request has been read
-	done     map[string]bool      // machines whose order was carried out
-	stays    map[string]time.Time // when a machine that could not be emptied is tried again
-	reported waveState
-}
-
-type waveState int
-
-const (
-	unreported waveState = iota
-	inProgress
-	completed
-)
-
 // upkeepForm is the record of a machine's maintenance: it may have been ordered,
 // or it has been.
 type upkeepForm struct {
@@ -95,97 +77,6 @@
 	return number, machine, err == nil
 }
 
-func (stw *Steward) waveOf(number int64) *wave {
-	wav, ok := stw.waves[number]
-	if !ok {
-		wav = &wave{done: map[string]bool{}, stays: map[string]time.Time{}}
-		stw.waves[number] = wav
-	}
-	return wav
-}
-
-func (stw *Steward) ask(now time.Time, req upkeep.Wave) {
-	wav := stw.waveOf(req.Number)
-	wav.request, wav.isAsked = req, true
-	stw.cfg.Journal.Event(now, "waveAsked", slog.Int64("wave", req.Number), slog.Int("machines", len(req.Machines)),
-		slog.Int("cap", req.Cap), slog.Duration("within", req.Within))
-}
-
-// planWaves begins to empty the machines that are next.
-func (stw *Steward) planWaves(now time.Time) {
-	load := stw.load()
-	for number, wav := range stw.waves {
-		if !wav.isAsked {
-			continue
-		}
-		// The cap counts machines from the moment that they are being emptied, and
-		// until they are back.
-		free := wav.request.Cap - stw.under(number)
-		var cands []upkeep.Candidate
-		for _, name := range wav.request.Machines {
-			if !stw.isNext(now, wav, name) {
-				continue
-			}
-			cnd := load[stw.machines[name].VM]
-			cnd.Machine = name
-			cands = append(cands, cnd)
-		}
-		for _, name := range upkeep.Next(cands, upkeep.Room{Cap: wav.request.Cap, Free: free, Lasting: stw.slow(number, load)}) {
-			stw.tasks[name] = &errand{machine: name, vm: stw.machines[name].VM, wave: number, began: now}
-			stw.cfg.Journal.Event(now, "upkeepBegun", slog.Int64("wave", number), slog.String("machine", name))
-		}
-	}
-}
-
-// load returns what runs on each VM, by the latest reports.
-func (stw *Steward) load() map[string]upkeep.Candidate {
-	load := map[string]upkeep.Candidate{}
-	for _, rpt := range stw.reports {
-		for _, vm := range rpt.pool.VMs {
-			load[vm.ID] = upkeep.Candidate{Tasks: vm.Tasks, Lasting: vm.Lasting}
-		}
-	}
-	return load
-}
-
-// isNext reports whether the machine may be emptied for the wave now.
-func (stw *Steward) isNext(now time.Time, wav *wave, name string) bool {
-	mac, ok := stw.machines[name]
-	return ok && mac.IsUp && !stw.isHeldBack(now, name) && !wav.done[name] && stw.tasks[name] == nil && !now.Before(wav.stays[name])
-}
-
-// isAnyLeft reports whether a machine of the wave is not being emptied yet.
-func (stw *Steward) isAnyLeft(now time.Time, wav *wave) bool {
-	for _, name := range wav.request.Machines {
-		if stw.isNext(now, wav, name) {
-			return true
-		}
-	}
-	return false
-}
-
-// slow returns how many machines of the wave with lasting tasks are being emptied.
-func (stw *Steward) slow(number int64, load map[string]upkeep.Candidate) int {
-	count := 0
-	for _, ern := range stw.tasks {
-		if ern.wave == number && !ern.isOrdered && load[ern.vm].Lasting > 0 {
-			count++
-		}
-	}
-	return count
-}
-
-// under returns how many machines of the wave are being emptied or are down.
-func (stw *Steward) under(number int64) int {
-	count := 0
-	for _, ern := range stw.tasks {
-		if ern.wave == number {
-			count++
-		}
-	}
-	return count
-}
-
 // order stores what is about to be ordered, which proves that the term lasts,
 // and sends the orders.
 func (stw *Steward) order(now time.Time, ready []*errand) {
@@ -314,54 +205,3 @@
 		}
 	}
 }
-
-// reportWaves tells the operator how the waves stand.
-func (stw *Steward) reportWaves(now time.Time) {
-	stw.mu.Lock()
-	var due []upkeepReport
-	for number, wav := range stw.waves {
-		if !wav.isAsked {
-			continue
-		}
-		want := inProgress
-		if stw.isCompleted(wav) {
-			want = completed
-		}
-		if wav.reported < want {
-			due = append(due, upkeepReport{number, want})
-		}
-	}
-	stw.mu.Unlock()
-	for _, rpt := range due {
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-		err := stw.cfg.Directory.ReportWave(ctx, rpt.number, rpt.state == completed)
-		cancel()
-		if err != nil {
-			stw.cfg.Journal.Warn(now, "waveUnreported", slog.Int64("wave", rpt.number), slog.String("error", err.Error()))
-			continue
-		}
-		stw.mu.Lock()
-		stw.waves[rpt.number].reported = rpt.state
-		stw.mu.Unlock()
-		stw.cfg.Journal.Event(now, "waveReported", slog.Int64("wave", rpt.number), slog.Bool("completed", rpt.state == completed))
-	}
-}
-
-type upkeepReport struct {
-	number int64
-	state  waveState
-}
-
-// isCompleted reports whether all machines of the wave that are left have begun
-// their maintenance.
-func (stw *Steward) isCompleted(wav *wave) bool {
-	if len(stw.machines) == 0 {
-		return false
-	}
-	for _, name := range wav.request.Machines {
-		if _, ok := stw.machines[name]; ok && !wav.done[name] {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/schedule/steward/steward.go
+++ b/internal/schedule/steward/steward.go
@@ -110,22 +110,6 @@
 	at   time.Time
 }
 
-// errand is something that is to be done with a machine.
-type errand struct {
-	machine   string
-	vm        string // its life when the errand began
-	pool      string // where it goes, for a move
-	wave      int64  // for maintenance
-	began     time.Time
-	orderedAt time.Time // of the last order
-	isOrdered bool      // an order may have been carried out
-	isDone    bool      // the order was carried out; the machine is not back yet
-	isBusy    bool      // an order is in flight
-	// isRestored tells that an earlier steward may have ordered it.
-	isRestored bool
-	milli      int64
-}
-
 // Open claims the fleet and restores the maintenance that has begun.
 func Open(ctx context.Context, now time.Time, cfg Config) (*Steward, error) {
 	clm, err := claim.Take(ctx, cfg.Archive, Name, cfg.Address)
@@ -197,34 +181,6 @@
 	return leaving, ended
 }
 
-// isEnded reports whether the list of machines shows that the life is over: the
-// machine is off, or has another life. One list may be older than the VM.
-func (stw *Steward) isEnded(vm string) bool {
-	return stw.missing[vm] >= listsToEnd
-}
-
-// countMissing notes which reported VMs the list does not show as lives.
-func (stw *Steward) countMissing() {
-	alive := make(map[string]bool, len(stw.machines))
-	for _, mac := range stw.machines {
-		if !mac.IsOff {
-			alive[mac.VM] = true
-		}
-	}
-	missing := map[string]int{}
-	for _, rpt := range stw.reports {
-		for _, vm := range rpt.pool.VMs {
-			if vm.IsSilent && !alive[vm.ID] {
-				missing[vm.ID] = stw.missing[vm.ID] + 1
-			}
-		}
-	}
-	stw.missing = missing
-}
-
-// listsToEnd is how many lists in a row must show that a life is over.
-const listsToEnd = 2
-
 // Request takes in a maintenance wave that the operator asks for.
 func (stw *Steward) Request(now time.Time, wav upkeep.Wave) {
 	stw.mu.Lock()
@@ -251,127 +207,6 @@
 	stw.reportWaves(now)
 }
 
-// list reads the machines while something is going on.
-func (stw *Steward) list(now time.Time) {
-	stw.mu.Lock()
-	isDue := now.Sub(stw.listedAt) >= listEach && (len(stw.tasks) > 0 || len(stw.machines) == 0 || stw.isMissing()) ||
-		now.Sub(stw.listedAt) >= listIdle
-	stw.mu.Unlock()
-	if !isDue {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	all, err := stw.cfg.Directory.Machines(ctx)
-	if err != nil {
-		stw.cfg.Journal.Warn(now, "machinesUnlisted", slog.String("error", err.Error()))
-		return
-	}
-	stw.mu.Lock()
-	defer stw.mu.Unlock()
-	stw.listedAt = now
-	clear(stw.machines)
-	for _, mac := range all {
-		stw.machines[mac.Name] = mac
-	}
-	stw.countMissing()
-	stw.complete(now)
-}
-
-// listIdle is how often the machines are listed while nothing is going on.
-const listIdle = 3 * time.Second
-
-// isMissing reports whether a pool has a VM that the list does not show, or one
-// that does not answer.
-func (stw *Steward) isMissing() bool {
-	known := make(map[string]bool, len(stw.machines))
-	for _, mac := range stw.machines {
-		known[mac.VM] = true
-	}
-	for _, rpt := range stw.reports {
-		for _, vm := range rpt.pool.VMs {
-			if vm.IsUsable && !known[vm.ID] || vm.IsSilent {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// complete ends the errands of machines that are back in another life.
-func (stw *Steward) complete(now time.Time) {
-	for name, ern := range stw.tasks {
-		mac, ok := stw.machines[name]
-		isBack := ok && mac.IsUp && mac.VM != ern.vm && mac.VM != ""
-		switch {
-		case !ok || isBack && (ern.isDone || ern.wave == 0 && ern.isOrdered):
-			stw.finish(now, ern, ok)
-		case isBack:
-			ern.vm = mac.VM // it has started anew by itself
-		}
-	}
-}
-
-func (stw *Steward) finish(now time.Time, ern *errand, isListed bool) {
-	delete(stw.tasks, ern.machine)
-	stw.cfg.Journal.Event(now, "machineBack", slog.String("machine", ern.machine), slog.Int64("wave", ern.wave),
-		slog.String("pool", ern.pool), slog.Bool("listed", isListed), slog.Duration("after", now.Sub(ern.began)))
-}
-
-// expire gives up what takes too long: a VM that cannot be emptied, or a machine
-// that does not come back from a move.
-func (stw *Steward) expire(now time.Time) {
-	load := stw.load()
-	for name, ern := range stw.tasks {
-		age, limit := now.Sub(ern.began), drainWithin
-		if load[ern.vm].Lasting > 0 {
-			limit = moveOutWithin
-		}
-		switch {
-		case ern.isBusy || ern.isRestored:
-			continue
-		case ern.wave == 0 && (age > moveWithin || !ern.isOrdered && age > emptyWithin):
-		case ern.wave > 0 && !ern.isOrdered && age > limit && stw.isAnyLeft(now, stw.waveOf(ern.wave)):
-			stw.waveOf(ern.wave).stays[name] = now.Add(stayPause)
-		default:
-			continue
-		}
-		delete(stw.tasks, name)
-		stw.cfg.Journal.Event(now, "errandGivenUp", slog.String("machine", name), slog.String("vm", ern.vm),
-			slog.String("pool", ern.pool), slog.Int64("wave", ern.wave), slog.Bool("ordered", ern.isOrdered))
-	}
-}
-
-// ready returns the errands whose VM is empty.
-func (stw *Steward) ready(now time.Time) []*errand {
-	empty := map[string]bool{}
-	for _, rpt := range stw.reports {
-		if now.Sub(rpt.at) > reportAge {
-			continue
-		}
-		for _, vm := range rpt.pool.VMs {
-			empty[vm.ID] = vm.IsLeaving && vm.Tasks == 0
-		}
-	}
-	var ready []*errand
-	for _, ern := range stw.tasks {
-		if len(ready) == stw.perRound() {
-			break
-		}
-		mac, ok := stw.machines[ern.machine]
-		isEmpty := empty[ern.vm] || ern.isOrdered || ern.isRestored && !mac.IsUp || stw.isStandby(mac.Pool)
-		if !ok || stw.isHeldBack(now, ern.machine) || !isEmpty || ern.isDone || ern.isBusy || now.Sub(ern.orderedAt) < orderRetry {
-			continue
-		}
-		ern.isBusy = true
-		ready = append(ready, ern)
-	}
-	return ready
-}
-
-// perRound returns how many orders may go out in a round.
-func (stw *Steward) perRound() int { return max(1, int(orderShare*stw.cfg.OrderRate*round.Seconds())) }
-
 func (stw *Steward) isStandby(pool string) bool {
 	tab := stw.cfg.Table()
 	if tab == nil {
