--- a/internal/fleet/arrivals/arrivals_test.go
+++ b/internal/fleet/arrivals/arrivals_test.go
@@ -12,9 +12,12 @@
 	perJob = 1000
 )
 
-func TestRateFollowsATurnWithinASecond(t *testing.T) {
-	arr, now, sum := arrivals.New(), time.Unix(1000, 0), arrivals.Sum{}
-	advance := func(steps int, work int64) {
+// steady returns an Arrivals and the way to let jobs arrive at the pool gate.
+func steady() (arr *arrivals.Arrivals, advance func(steps int, work int64)) {
+	arr = arrivals.New()
+	now, sum := time.Unix(1000, 0), arrivals.Sum{}
+	arr.Observe(now, "gate", sum)
+	return arr, func(steps int, work int64) {
 		for range steps {
 			now = now.Add(step)
 			sum.Work += work
@@ -22,7 +25,10 @@
 			arr.Observe(now, "gate", sum)
 		}
 	}
-	arr.Observe(now, "gate", sum)
+}
+
+func TestRateFollowsATurnWithinASecond(t *testing.T) {
+	arr, advance := steady()
 	advance(10, 0)
 	advance(5, 50000)
 	if got := arr.Rate("gate"); got != 250000 {
@@ -49,16 +55,7 @@
 
 // VMs take a while to move, so a turn that is growing is taken for larger than it is.
 func TestGrowingTurnIsForecast(t *testing.T) {
-	arr, now, sum := arrivals.New(), time.Unix(1000, 0), arrivals.Sum{}
-	advance := func(steps int, work int64) {
-		for range steps {
-			now = now.Add(step)
-			sum.Work += work
-			sum.Jobs += work / perJob
-			arr.Observe(now, "gate", sum)
-		}
-	}
-	arr.Observe(now, "gate", sum)
+	arr, advance := steady()
 	advance(10, 2000)
 	if rate, got := arr.Rate("gate"), arr.Forecast("gate"); got != rate {
 		t.Errorf("forecast %d of a steady rate of %d", got, rate)
--- a/internal/schedule/cell/miss.go
+++ b/internal/schedule/cell/miss.go
@@ -55,7 +55,7 @@
 	if mss.isEverywhere(stg.step) {
 		return true
 	}
-	if stg.job.home == "" || stg.job.wish == "" || !mss.isIn(stg.job.home, stg.step) {
+	if stg.job.home == "" || stg.job.nextZone == "" || !mss.isIn(stg.job.home, stg.step) {
 		return false
 	}
 	for _, zone := range stg.job.zones {
--- a/internal/schedule/cell/place.go
+++ b/internal/schedule/cell/place.go
@@ -196,13 +196,18 @@
 
 func (cel *Cell) nextRun(wrk *work) int { return max(wrk.run, cel.cfg.RunBase) + 1 }
 
-// choose returns the VM for the task, or nil.
+// choose returns the VM for the task in the zones where its job may run, or nil.
 func (cel *Cell) choose(stg *stage, wrk *work) *machine {
+	return cel.search(stg, wrk, stg.job.mayRunIn)
+}
+
+// search returns the VM for the task in the zones that are allowed, or nil.
+func (cel *Cell) search(stg *stage, wrk *work, isAllowed func(zone string) bool) *machine {
 	var best *machine
 	var bestCost float64
 	need := counted(stg.step)
 	for _, mac := range cel.usable {
-		if !need.Fits(mac.room()) || !stg.job.mayRunIn(mac.host.Zone) || !mac.mayTake(stg) {
+		if !need.Fits(mac.room()) || !isAllowed(mac.host.Zone) || !mac.mayTake(stg) {
 			continue
 		}
 		cost := fit.Score(stg.step, fit.Candidate{
--- a/internal/schedule/cell/record.go
+++ b/internal/schedule/cell/record.go
@@ -60,8 +60,8 @@
 		if ent, ok := cel.jobs[upd.ID]; ok {
 			ent.recorded = upd.Progress.State
 			ent.zones = upd.Progress.Zones
-			if slices.Contains(ent.zones, ent.wish) {
-				ent.wish = ""
+			if slices.Contains(ent.zones, ent.nextZone) {
+				ent.nextZone = ""
 			}
 		}
 	}
@@ -112,8 +112,8 @@
 		prg.State = ledger.Running
 	}
 	prg.Zones = slices.Clone(ent.zones)
-	if ent.wish != "" && !slices.Contains(prg.Zones, ent.wish) {
-		prg.Zones = append(prg.Zones, ent.wish)
+	if ent.nextZone != "" && !slices.Contains(prg.Zones, ent.nextZone) {
+		prg.Zones = append(prg.Zones, ent.nextZone)
 	}
 	for _, num := range ent.doneRounds {
 		for i := range ent.plan.Steps {
--- a/internal/schedule/cell/state.go
+++ b/internal/schedule/cell/state.go
@@ -84,7 +84,7 @@
 	held       int      // works on VMs
 	home       string   // zone that it is confined to; empty for none
 	zones      []string // where it may run beside home, as stored
-	wish       string   // zone that is to be recorded as another one
+	nextZone   string   // zone that is to be recorded as another one
 	// doneRounds are the occurrences that are done, for the record.
 	doneRounds []int
 }
--- a/internal/schedule/cell/zone.go
+++ b/internal/schedule/cell/zone.go
@@ -70,18 +70,15 @@
 	mss.add(stg)
 	stg.isStarved = true
 	ent := stg.job
-	if ent.home == "" || ent.wish != "" || mss.isEverywhere(stg.step) {
+	if ent.home == "" || ent.nextZone != "" || mss.isEverywhere(stg.step) {
 		return
 	}
-	home := ent.home
-	ent.home = ""
-	mac := cel.choose(stg, wrk)
-	ent.home = home
+	mac := cel.search(stg, wrk, func(string) bool { return true })
 	if mac == nil {
 		mss.addEverywhere(stg.step)
 		return
 	}
-	ent.wish = mac.host.Zone
+	ent.nextZone = mac.host.Zone
 	cel.markDirty(ent)
 	cel.isUrgent = true
 }
