--- a/internal/schedule/cell/cell.go
+++ b/internal/schedule/cell/cell.go
@@ -60,7 +60,8 @@
 	jobs    map[string]*entry
 	timed   map[string]*entry // with occurrences that are not due yet
 	open    map[*stage]bool
-	halting map[*work]bool // to be stopped
+	halting map[*work]bool      // to be stopped
+	unsure  map[*work]time.Time // runs whose VM's life has ended, and when that was heard
 	// usable are the VMs that may take tasks, and loads those of their zones, as of
 	// the plan in the making.
 	usable []*machine
@@ -85,7 +86,7 @@
 	return &Cell{
 		cfg: cfg, settled: cfg.IsFirst,
 		vms: map[string]*machine{}, jobs: map[string]*entry{}, timed: map[string]*entry{}, open: map[*stage]bool{},
-		halting: map[*work]bool{}, loads: map[string]load{}, unsettled: map[string]bool{}, models: map[string]*runtime.Model{}, dirty: map[string]bool{},
+		halting: map[*work]bool{}, unsure: map[*work]time.Time{}, loads: map[string]load{}, unsettled: map[string]bool{}, models: map[string]*runtime.Model{}, dirty: map[string]bool{},
 		newVMs: map[string]bool{}, goneVMs: map[string]bool{}, over: map[string]int64{},
 	}
 }
--- a/internal/schedule/cell/host.go
+++ b/internal/schedule/cell/host.go
@@ -110,10 +110,26 @@
 			wrk.stopAcked = time.Time{}
 			continue
 		}
+		cel.suspend(now, wrk)
+	}
+}
+
+// suspend takes in that the life of the task's VM has ended. An owner that was cut
+// off may hear of it later than its successor, which may have seen the run end as
+// done, so the task waits until this owner is confirmed.
+func (cel *Cell) suspend(now time.Time, wrk *work) {
+	if wrk.phase == stopping && wrk.step.job.state.IsEnded() {
 		cel.release(wrk)
+		return
 	}
+	wrk.vm.remove(wrk)
+	wrk.phase = unsure
+	cel.unsure[wrk] = now
 }
 
+// IsUnsure reports whether tasks wait for a confirmation of the owner.
+func (cel *Cell) IsUnsure() bool { return len(cel.unsure) > 0 }
+
 // Unanswered takes in that a look at the VM failed. It gets no new work before
 // it answers again.
 func (cel *Cell) Unanswered(id string) {
@@ -131,7 +147,7 @@
 	}
 	cel.cfg.Event(now, "vmReplaced", slog.String("vm", id), slog.Int("tasks", len(mac.works)))
 	for _, wrk := range mac.works {
-		cel.release(wrk)
+		cel.suspend(now, wrk)
 	}
 	mac.dropStrays()
 	cel.forget(mac)
--- a/internal/schedule/cell/report.go
+++ b/internal/schedule/cell/report.go
@@ -32,7 +32,18 @@
 }
 
 // Confirm takes in that this was the pool's owner at a moment.
-func (cel *Cell) Confirm(at time.Time) { cel.confirmed = later(cel.confirmed, at) }
+func (cel *Cell) Confirm(at time.Time) {
+	cel.confirmed = later(cel.confirmed, at)
+	for wrk, heard := range cel.unsure {
+		if wrk.phase == unsure && !cel.confirmed.After(heard) {
+			continue
+		}
+		delete(cel.unsure, wrk)
+		if wrk.phase == unsure {
+			cel.release(wrk)
+		}
+	}
+}
 
 // Lapse takes in the passage of time: leases that have run out, VMs that are
 // gone, occurrences that are due, and ended jobs that need not be kept.
@@ -153,8 +164,10 @@
 
 // adopt takes over a run that an earlier owner has started.
 func (cel *Cell) adopt(mac *machine, wrk *work, run agent.Run) {
+	if wrk.phase == waiting {
+		wrk.step.waitCount--
+	}
 	wrk.run, wrk.phase, wrk.answered = run.Number, running, mac.heardAt
-	wrk.step.waitCount--
 	mac.add(wrk)
 	wrk.step.job.isBegun = true
 	wrk.pace = unknownPace
--- a/internal/schedule/cell/state.go
+++ b/internal/schedule/cell/state.go
@@ -17,6 +17,7 @@
 	starting       // the start was sent and has no answer yet
 	running
 	stopping // its room is free when the VM no longer lists it
+	unsure   // its VM's life has ended; another owner may know more of the run
 	done
 )
 
--- a/internal/schedule/owner/duties.go
+++ b/internal/schedule/owner/duties.go
@@ -127,7 +127,7 @@
 
 // confirmLoop looks whether another owner has claimed the pool.
 func (own *Owner) confirmLoop() {
-	for pause(own.quit, confirmEach) {
+	for own.awaitConfirm() {
 		sent := time.Now()
 		holds, err := claim.Holds(context.Background(), own.cfg.Archive, own.cfg.Service, own.fence)
 		switch {
@@ -139,10 +139,37 @@
 		}
 		own.mu.Lock()
 		own.cel.Confirm(sent)
+		own.wake()
 		own.mu.Unlock()
 	}
 }
 
+// awaitConfirm waits for the next look at the claims, which is at once when tasks
+// wait for it. It reports false when the term ends.
+func (own *Owner) awaitConfirm() bool {
+	tmr := time.NewTimer(confirmEach)
+	defer tmr.Stop()
+	select {
+	case <-own.quit:
+		return false
+	case <-own.verify:
+	case <-tmr.C:
+	}
+	return true
+}
+
+// verifyIfUnsure asks for a look at the claims when tasks wait for it. The caller
+// holds the lock.
+func (own *Owner) verifyIfUnsure() {
+	if !own.cel.IsUnsure() {
+		return
+	}
+	select {
+	case own.verify <- struct{}{}:
+	default:
+	}
+}
+
 // holdLoop renews the leases on a VM and takes in what it reports, until the
 // cell forgets the VM.
 func (own *Owner) holdLoop(id string) {
@@ -204,7 +231,7 @@
 	case agent.Reborn:
 		own.mu.Lock()
 		own.cel.Replaced(now, tgt.VM)
-		own.wake()
+		own.verifyIfUnsure()
 		own.mu.Unlock()
 	case agent.Unknown:
 		own.cfg.Agent.Drop(tgt.Address)
@@ -216,6 +243,7 @@
 		return false, errors.Wrap(err, "hold")
 	}
 	own.cel.Report(now, sent, tgt.VM, rpt)
+	own.verifyIfUnsure()
 	own.wake()
 	if own.cel.HasUrgent() {
 		own.requestFlush()
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -72,6 +72,7 @@
 	stuck      time.Time // when the append in flight first failed; zero while all is well
 	kick       chan struct{}
 	flush      chan struct{}
+	verify     chan struct{}
 	quit       chan struct{}
 	lost       chan struct{}
 	closeOnce  sync.Once
@@ -96,7 +97,7 @@
 	}
 	own := &Owner{
 		cfg: cfg, fence: clm.Fence(), looked: map[string]bool{}, pending: map[string]*submission{},
-		kick: make(chan struct{}, 1), flush: make(chan struct{}, 1),
+		kick: make(chan struct{}, 1), flush: make(chan struct{}, 1), verify: make(chan struct{}, 1),
 		quit: make(chan struct{}), lost: make(chan struct{}), done: make(chan struct{}),
 	}
 	own.appendTime = cfg.Metrics.GetOrCreateHistogram(`daisywheel_append_seconds{pool="` + cfg.Service + `"}`)
@@ -338,6 +339,7 @@
 	for _, id := range vms {
 		own.cel.Replaced(now, id)
 	}
+	own.verifyIfUnsure()
 	if len(vms) > 0 {
 		own.wake()
 	}
