Count machines that an earlier steward took down against the cap of their wave

Maintenance that was stored as done had no errand at the successor, so machines that were still down did not count. The list of machines shows them as away; they count until it shows them up again.

Two more on the way there: an order that was repeated after a lost answer, or by a successor, is answered as done though the machine is back already; its errand never ended, its VM stayed closed to work and its place in the wave taken. And a list asked for before an order could end its errand.

Ruled out: late orders (the platform carries none out late), two stewards at once (each order follows an append with the epoch).

Before: the new tests fail (6 of 4 down; a VM kept empty for the rest of the term; a wave that stops after 4 of 16 machines). After: they pass.

--- a/internal/schedule/steward/errand.go
+++ b/internal/schedule/steward/errand.go
@@ -12,7 +12,8 @@
 	pool      string // where it goes, for a move
 	wave      int64  // for maintenance
 	began     time.Time
-	orderedAt time.Time // of the last order
+	emptied   string    // the life that was empty when the last order was sent
+	orderedAt time.Time // of the last order's outcome
 	isOrdered bool      // an order may have been carried out
 	isDone    bool      // the order was carried out; the machine is not back yet
 	isBusy    bool      // an order is in flight
@@ -21,20 +22,33 @@
 	milli      int64
 }
 
-// complete ends the errands of machines that are back in another life.
-func (stw *Steward) complete(now time.Time) {
+// complete ends the errands of machines that are back, by a list that was asked for
+// at the given time.
+func (stw *Steward) complete(now, asked time.Time) {
 	for name, ern := range stw.tasks {
 		mac, ok := stw.machines[name]
-		isBack := ok && mac.IsUp && mac.VM != ern.vm && mac.VM != ""
+		isUp := ok && mac.IsUp && mac.VM != ""
+		isNew := isUp && mac.VM != ern.vm
 		switch {
-		case !ok || isBack && (ern.isDone || ern.wave == 0 && ern.isOrdered):
+		case !ok || isUp && ern.isDone && ern.isOver(asked, isNew) || isNew && ern.wave == 0 && ern.isOrdered:
 			stw.finish(now, ern, ok)
-		case isBack:
+		case isNew:
 			ern.vm = mac.VM // it has started anew by itself
 		}
 	}
 }
 
+// isOver reports whether a list shows the end of an order that was carried out,
+// given that the machine is up. A list that was asked for earlier may show the time
+// before. A machine that is up in the same life had been ordered before, by a call
+// without an answer or by an earlier steward; a done order is answered alike.
+func (ern *errand) isOver(asked time.Time, isNew bool) bool {
+	if isNew {
+		return asked.After(ern.orderedAt)
+	}
+	return asked.Sub(ern.orderedAt) >= listEach
+}
+
 func (stw *Steward) finish(now time.Time, ern *errand, isListed bool) {
 	delete(stw.tasks, ern.machine)
 	stw.cfg.Journal.Event(now, "machineBack", slog.String("machine", ern.machine), slog.Int64("wave", ern.wave),
@@ -82,11 +96,12 @@
 			break
 		}
 		mac, ok := stw.machines[ern.machine]
-		isEmpty := empty[ern.vm] || ern.isOrdered || ern.isRestored && !mac.IsUp || stw.isStandby(mac.Pool)
+		wasEmpty := ern.isOrdered && ern.emptied == ern.vm
+		isEmpty := empty[ern.vm] || wasEmpty || ern.isRestored && !mac.IsUp || stw.isStandby(mac.Pool)
 		if !ok || stw.isHeldBack(now, ern.machine) || !isEmpty || ern.isDone || ern.isBusy || now.Sub(ern.orderedAt) < orderRetry {
 			continue
 		}
-		ern.isBusy = true
+		ern.isBusy, ern.emptied = true, ern.vm
 		ready = append(ready, ern)
 	}
 	return ready
--- a/internal/schedule/steward/list.go
+++ b/internal/schedule/steward/list.go
@@ -58,7 +58,7 @@
 		stw.machines[mac.Name] = mac
 	}
 	stw.countMissing()
-	stw.complete(now)
+	stw.complete(time.Now(), now)
 }
 
 // listIdle is how often the machines are listed while nothing is going on.
--- a/internal/schedule/steward/steward_test.go
+++ b/internal/schedule/steward/steward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -39,12 +40,19 @@
 	backAt map[string]time.Time
 	orders []order
 	busy   map[string]bool // machines with a task that does not end
+	// maintained are the machines of waves whose maintenance has been ordered: another
+	// order is answered alike and does nothing.
+	maintained map[string]bool
+	// answer is told of each order and may replace its outcome.
+	answer func(machine string) directory.Ordered
+	// listTakes is how long the list is on its way.
+	listTakes time.Duration
 }
 
 const awayFor = 1500 * time.Millisecond
 
 func newPlatform(pools ...string) *platform {
-	plt := &platform{pools: map[string]string{}, lives: map[string]int{}, backAt: map[string]time.Time{}}
+	plt := &platform{pools: map[string]string{}, lives: map[string]int{}, backAt: map[string]time.Time{}, maintained: map[string]bool{}}
 	for _, pool := range pools {
 		for i := range 8 {
 			plt.pools[fmt.Sprintf("%s-%d", pool, i)] = pool
@@ -58,6 +66,7 @@
 }
 
 func (plt *platform) list(context.Context) ([]directory.Machine, error) {
+	defer time.Sleep(plt.listTakes)
 	plt.mu.Lock()
 	defer plt.mu.Unlock()
 	var all []directory.Machine
@@ -88,11 +97,20 @@
 		Move: func(_ context.Context, machine, pool, holder string, fence int64) (directory.Ordered, error) {
 			return plt.take(machine, pool, holder, fence)
 		},
-		Maintain: func(_ context.Context, machine string, _ int64, holder string, fence int64) (directory.Ordered, error) {
+		Maintain: func(_ context.Context, machine string, wave int64, holder string, fence int64) (directory.Ordered, error) {
 			plt.mu.Lock()
-			pool := plt.pools[machine]
+			pool, key := plt.pools[machine], fmt.Sprint(wave, "/", machine)
+			isDone := plt.maintained[key]
+			plt.maintained[key] = true
 			plt.mu.Unlock()
-			return plt.take(machine, pool, holder, fence)
+			out := directory.OrderDone
+			if !isDone {
+				out, _ = plt.take(machine, pool, holder, fence)
+			}
+			if plt.answer != nil {
+				out = plt.answer(machine)
+			}
+			return out, nil
 		},
 		ReportWave: func(context.Context, int64, bool) error { return nil },
 	}
@@ -206,20 +224,137 @@
 		if len(plt.orders) != len(all) {
 			t.Errorf("%d orders for %d machines", len(plt.orders), len(all))
 		}
-		for i, ord := range plt.orders {
-			down := 0
-			for _, other := range plt.orders[:i] {
-				if ord.at.Sub(other.at) < awayFor {
-					down++
-				}
+		plt.checkCap(t, 2)
+	})
+}
+
+// checkCap reports orders that took a machine down while so many others were.
+func (plt *platform) checkCap(t *testing.T, most int) {
+	t.Helper()
+	for i, ord := range plt.orders {
+		down := 0
+		for _, other := range plt.orders[:i] {
+			if ord.at.Sub(other.at) < awayFor {
+				down++
 			}
-			if down >= 2 {
-				t.Errorf("%s is taken down while %d others are", ord.machine, down)
+		}
+		if down >= most {
+			t.Errorf("%s is taken down while %d others are", ord.machine, down)
+		}
+	}
+}
+
+func (plt *platform) names() []string {
+	var all []string
+	for name := range plt.pools {
+		all = append(all, name)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// Hunted days 03c2-3 and 5528-3 of the compost site: the entry of the steward is
+// replaced while machines of a wave are down, and those that it had stored as done
+// were not counted by its successor.
+func TestWaveKeepsItsCapOverAChangeOfSteward(t *testing.T) {
+	for led := 100 * time.Millisecond; led <= 2*time.Second; led += 100 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			store, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newPlatform("gate", "haul")
+			wav := upkeep.Wave{Number: 7, Machines: plt.names(), Cap: 4, Within: time.Minute}
+			plt.busy = map[string]bool{}
+			for _, name := range plt.names()[2:] {
+				plt.busy[name] = true
+			}
+			first := open(t, store, plt, "first")
+			first.Request(time.Now(), wav)
+			plt.run(first, 0, 500*time.Millisecond)
+			plt.busy = nil // more become empty, so their orders store what was done before
+			plt.run(first, 0, led)
+			first.Close()
+			second := open(t, store, plt, "second")
+			second.Request(time.Now(), wav)
+			plt.run(second, 0, 40*time.Second)
+			second.Close()
+			if len(plt.orders) != len(wav.Machines) {
+				t.Errorf("led %s: %d orders for %d machines", led, len(plt.orders), len(wav.Machines))
+			}
+			plt.checkCap(t, 4)
+		})
+	}
+}
+
+// An order without an answer is repeated, and answered as done though the machine is
+// back already. Its VM must not be kept empty for the rest of the term.
+func TestRepeatedOrderOfADoneMaintenanceEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newPlatform("gate", "haul")
+		began := time.Now()
+		plt.answer = func(string) directory.Ordered {
+			if time.Since(began) < 4*time.Second {
+				return directory.OrderUnknown
 			}
+			return directory.OrderDone
 		}
+		stw := open(t, store, plt, "first")
+		stw.Request(began, upkeep.Wave{Number: 1, Machines: []string{"gate-0"}, Cap: 1, Within: time.Minute})
+		plt.run(stw, 0, 8*time.Second)
+		leaving, _ := stw.Report(time.Now(), plt.report("gate", 0))
+		stw.Close()
+		if len(leaving) != 0 {
+			t.Errorf("VMs to be emptied: %v, want none after the wave", leaving)
+		}
+	})
+}
+
+// The same over a change of steward, whose successor does not know the outcome.
+func TestRestoredMaintenanceThatWasDoneEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newPlatform("gate", "haul")
+		wav := upkeep.Wave{Number: 1, Machines: []string{"gate-0"}, Cap: 1, Within: time.Minute}
+		plt.answer = func(string) directory.Ordered { return directory.OrderUnknown }
+		first := open(t, store, plt, "first")
+		first.Request(time.Now(), wav)
+		plt.run(first, 0, time.Second)
+		first.Close()
+		plt.answer = nil
+		time.Sleep(3 * time.Second)
+		second := open(t, store, plt, "second")
+		second.Request(time.Now(), wav)
+		plt.run(second, 0, 12*time.Second)
+		leaving, _ := second.Report(time.Now(), plt.report("gate", 0))
+		second.Close()
+		if len(leaving) != 0 {
+			t.Errorf("VMs to be emptied: %v, want none after the wave", leaving)
+		}
+	})
+}
+
+// A VM that has started anew by itself is ordered down; the list that was asked for
+// before shows it up in another life, which is not the end of its maintenance.
+func TestListFromBeforeAnOrderDoesNotEndIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newPlatform("gate", "haul")
+		plt.listTakes = 150 * time.Millisecond
+		stw := open(t, store, plt, "first")
+		stw.Request(time.Now(), upkeep.Wave{Number: 1, Machines: plt.names(), Cap: 2, Within: time.Minute})
+		for limit := time.Now().Add(25 * time.Second); time.Now().Before(limit); time.Sleep(200 * time.Millisecond) {
+			plt.restart("gate-" + fmt.Sprint(int(time.Until(limit)/time.Second)%8))
+			plt.tell(stw, 0)
+		}
+		stw.Close()
+		plt.checkCap(t, 2)
 	})
 }
 
+// restart gives a machine that is up another life.
+func (plt *platform) restart(machine string) {
+	plt.mu.Lock()
+	defer plt.mu.Unlock()
+	if !time.Now().Before(plt.backAt[machine]) {
+		plt.lives[machine]++
+	}
+}
+
 // A steward that has been idle leaves nothing for its successor to keep away from.
 func TestIdleStewardHoldsNothingBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/schedule/steward/wave.go
+++ b/internal/schedule/steward/wave.go
@@ -50,7 +50,7 @@
 		}
 		// The cap counts machines from the moment that they are being emptied, and
 		// until they are back.
-		free := wav.request.Cap - stw.under(number)
+		free := wav.request.Cap - stw.under(number, wav)
 		var cands []upkeep.Candidate
 		for _, name := range wav.request.Machines {
 			if !stw.isNext(now, wav, name) {
@@ -105,14 +105,21 @@
 	return count
 }
 
-// under returns how many machines of the wave are being emptied or are down.
-func (stw *Steward) under(number int64) int {
+// under returns how many machines of the wave are being emptied or are down. An
+// earlier steward may have ordered some that are still down.
+func (stw *Steward) under(number int64, wav *wave) int {
 	count := 0
 	for _, ern := range stw.tasks {
 		if ern.wave == number {
 			count++
 		}
 	}
+	for name := range wav.done {
+		mac, ok := stw.machines[name]
+		if ok && !mac.IsUp && !mac.IsOff && stw.tasks[name] == nil {
+			count++
+		}
+	}
 	return count
 }
 
