Leave pools to their owners while no membership is confirmed

An entry could claim between the return of the store and its own next join.

An entry whose own membership is not confirmed claims nothing, and asks again after its questions. One that was confirmed just now waits for owners that answer; those that do not answer are replaced at once. A new owner does not begin with stale announcements.

Test: another entry takes the pool after an outage before, not after.

--- a/internal/schedule/service/probe.go
+++ b/internal/schedule/service/probe.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	methodAlive = "owner.alive"
+	methodStanding = "owner.standing"
 	// probeTimeout bounds the question to an owner: 100 times the way between
 	// availability zones and back, and shorter than a membership.
 	probeTimeout = 400 * time.Millisecond
@@ -23,9 +23,19 @@
 	aliveWithin = 1100 * time.Millisecond
 )
 
-// aliveForm is the question whether the asked entry owns something that an entry
-// of the grade should leave to it.
-type aliveForm struct {
+// standing is how an entry stands to something that it may own.
+type standing int
+
+// Standings, as they are sent between entries.
+const (
+	ownsNot standing = iota // or is stopping, or is of a lower grade
+	unconfirmed
+	owns
+)
+
+// standingForm is the question how the asked entry stands to something, by an entry
+// of the grade.
+type standingForm struct {
 	Name  string `json:"name"`
 	Grade int    `json:"grade"`
 }
@@ -33,36 +43,45 @@
 // mayOwn reports whether the pool should be claimed here: it has no live owner that
 // is as able, and no entry of a higher grade is there to claim it.
 func (svc *Service) mayOwn(ctx context.Context, name string) bool {
-	if svc.isOwned(ctx, name) {
+	std := svc.standingOf(ctx, name)
+	if std == owns {
 		return false
 	}
 	isOutranked, err := group.IsOutranked(ctx, svc.cfg.Archive, group.GradeOf(svc.cfg.MilliCores))
 	if err != nil {
 		svc.cfg.Journal.Warn(time.Now(), "gradesUnread", slog.String("name", name), slog.String("error", err.Error()))
-		return true // a pool without an owner is worse than one with a weak owner
+		isOutranked = false // a pool without an owner is worse than one with a weak owner
 	}
-	return !isOutranked
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	now := time.Now() // the questions may have outlasted an outage of the store
+	return !isOutranked && svc.isConfirmed(now) && (std == ownsNot || !svc.hasOutage(now))
 }
 
-// isOwned reports whether the newest claim is that of a live owner elsewhere. A
-// wrong no costs a change of owner; its claim then fences the one before.
-func (svc *Service) isOwned(ctx context.Context, name string) bool {
+// standingOf returns how the entry of the newest claim stands to what it claimed. One
+// that does not answer owns nothing; if it does after all, the next claim fences it,
+// which costs a change of owner.
+func (svc *Service) standingOf(ctx context.Context, name string) standing {
 	address, err := claim.Find(ctx, svc.cfg.Archive, name)
 	if err != nil {
 		svc.cfg.Journal.Warn(time.Now(), "claimUnread", slog.String("name", name), slog.String("error", err.Error()))
-		return true // without the store nothing can be claimed either
+		return owns // without the store nothing can be claimed either
 	}
 	if address == "" || address == svc.cfg.PeerAddress {
-		return false
+		return ownsNot
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	var answer bool
-	err = svc.link.Ask(ctx, address, methodAlive, aliveForm{Name: name, Grade: group.GradeOf(svc.cfg.MilliCores)}, &answer)
-	if err != nil || !answer {
-		svc.cfg.Journal.Event(time.Now(), "ownerNotAlive", slog.String("name", name), slog.String("address", address), slog.Bool("answered", err == nil))
+	var answer standing
+	err = svc.link.Ask(ctx, address, methodStanding, standingForm{Name: name, Grade: group.GradeOf(svc.cfg.MilliCores)}, &answer)
+	if err != nil || answer != owns {
+		svc.cfg.Journal.Event(time.Now(), "ownerNotAlive", slog.String("name", name), slog.String("address", address),
+			slog.Bool("answered", err == nil), slog.Int("standing", int(answer)))
+	}
+	if err != nil {
+		return ownsNot
 	}
-	return err == nil && answer
+	return answer
 }
 
 // passOver leaves a pool to its owner until the next look.
@@ -73,17 +92,20 @@
 	svc.failedAt[name] = time.Now()
 }
 
-func (svc *Service) serveAlive(_ context.Context, params json.RawMessage) (any, error) {
-	var in aliveForm
+func (svc *Service) serveStanding(_ context.Context, params json.RawMessage) (any, error) {
+	var in standingForm
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, fault.Wrap(err, code.BadRequest, "question for an owner")
 	}
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
+	isOwner := svc.owners[in.Name] != nil || in.Name == steward.Name && svc.steward != nil
 	isAble := group.GradeOf(svc.cfg.MilliCores) >= in.Grade
-	isFresh := time.Since(svc.joinedAt) < aliveWithin && !svc.stopping.Load() && isAble
-	if in.Name == steward.Name {
-		return isFresh && svc.steward != nil, nil
+	switch {
+	case !isOwner || !isAble || svc.stopping.Load():
+		return ownsNot, nil
+	case !svc.isConfirmed(time.Now()):
+		return unconfirmed, nil
 	}
-	return isFresh && svc.owners[in.Name] != nil, nil
+	return owns, nil
 }
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -45,6 +45,9 @@
 	// gets no more work.
 	hostsEach    = 250 * time.Millisecond
 	hostsTimeout = 900 * time.Millisecond
+	// hostsFresh is how old the announcements may be that a new owner begins with: a
+	// VM that drains meanwhile must not get new work for long.
+	hostsFresh = 2 * hostsEach
 	// startDelay lets the members that start together find each other before
 	// pools are claimed: machines start within 0.3 s, and then one join.
 	startDelay = 700 * time.Millisecond
@@ -52,6 +55,9 @@
 	// claimed again.
 	reopenAfter = 400 * time.Millisecond
 	openTimeout = 5 * time.Second
+	// firstJoin is how long after the start of an entry the first join is sent, if
+	// none before it has failed.
+	firstJoin = 300 * time.Millisecond
 	// rejoinDelay is how long an entry that comes back from an outage leaves pools
 	// to their owners: three joins.
 	rejoinDelay = 1200 * time.Millisecond
@@ -88,10 +94,13 @@
 	mu       sync.Mutex
 	parts    []int
 	hosts    map[string]host.Host
+	hostsAt  time.Time // when the announcements were last read
 	owners   map[string]*owner.Owner
 	opening  map[string]bool
 	failedAt map[string]time.Time
 	joinedAt time.Time
+	// hasJoined tells that joinedAt is that of a membership, not of the start.
+	hasJoined bool
 	// regainedAt is when the membership was last confirmed after a gap.
 	regainedAt time.Time
 	steward    *steward.Steward
@@ -110,7 +119,7 @@
 		waves: map[int64]upkeep.Wave{}, leaving: map[string]leave{},
 	}
 	svc.link.Handle(methodReport, svc.serveReport)
-	svc.link.Handle(methodAlive, svc.serveAlive)
+	svc.link.Handle(methodStanding, svc.serveStanding)
 	svc.gateway = gateway.New(gateway.Config{
 		Address: cfg.PeerAddress, Partitions: cfg.Partitions, Link: svc.link, Archive: cfg.Archive,
 		Journal: cfg.Journal, Local: svc.Owner,
@@ -194,10 +203,11 @@
 func (svc *Service) dealt(sent time.Time, parts []int) {
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
-	if sent.Sub(svc.joinedAt) > aliveWithin {
+	gap := sent.Sub(svc.joinedAt)
+	if gap > aliveWithin || !svc.hasJoined && gap > firstJoin {
 		svc.regainedAt = sent
 	}
-	svc.parts, svc.joinedAt = parts, sent
+	svc.parts, svc.joinedAt, svc.hasJoined = parts, sent, true
 }
 
 // followWishes reads the operator's records until quit is closed.
@@ -327,6 +337,7 @@
 			svc.hosts[chg.ID] = chg.Host
 		}
 	}
+	svc.hostsAt = now
 	svc.tellHosts(now)
 	svc.mu.Unlock()
 }
@@ -352,8 +363,7 @@
 	}
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
-	// After an outage of the store the owners come back as well, in any order.
-	mayClaim := now.Sub(svc.regainedAt) >= rejoinDelay
+	mayClaim := svc.isConfirmed(now)
 	isStale := now.Sub(svc.joinedAt) >= cell.OwnerReach
 	dealt := map[int]bool{}
 	for _, num := range svc.parts {
@@ -377,6 +387,14 @@
 	}
 }
 
+// isConfirmed reports whether the membership of this entry is confirmed: one that is
+// not may not take anything, as all may have lost the store. The caller holds the lock.
+func (svc *Service) isConfirmed(now time.Time) bool { return now.Sub(svc.joinedAt) < aliveWithin }
+
+// hasOutage reports whether the membership was confirmed again just now, so that
+// owners which answer may be about to be confirmed too. The caller holds the lock.
+func (svc *Service) hasOutage(now time.Time) bool { return now.Sub(svc.regainedAt) < rejoinDelay }
+
 // stewardSeat is the partition of the group whose holder should be the steward.
 const stewardSeat = 0
 
@@ -421,5 +439,7 @@
 	}
 	svc.owners[pool] = own
 	own.SetTable(svc.table.Load())
-	svc.tellHosts(now)
+	if now.Sub(svc.hostsAt) < hostsFresh {
+		svc.tellHosts(now)
+	}
 }
--- a/internal/schedule/service/service_test.go
+++ b/internal/schedule/service/service_test.go
@@ -43,6 +43,7 @@
 	// addresses are the entries' peer addresses.
 	addresses []string
 	cut       atomic.Int32 // entry whose membership is not confirmed any more
+	down      atomic.Bool  // the store refuses all calls
 }
 
 // coresOfEntry is what an entry may use where a test does not say otherwise, in
@@ -97,16 +98,67 @@
 	arc := ste.store.Client()
 	join := arc.Join
 	arc.Join = func(ctx context.Context, mbr archive.Member) (archive.Share, error) {
-		if ste.cut.Load() == int32(entry) {
+		if cut := ste.cut.Load(); cut == int32(entry) || cut == everybody || ste.down.Load() {
 			return archive.Share{}, errors.New("no path to the store")
 		}
 		return join(ctx, mbr)
 	}
+	add, lookup, newest := arc.Append, arc.Lookup, arc.Newest
+	arc.Append = func(ctx context.Context, app archive.Append) (int64, error) {
+		if ste.down.Load() {
+			return 0, archive.ErrNotDone
+		}
+		return add(ctx, app)
+	}
+	arc.Lookup = func(ctx context.Context, topic string, part int, key string) (archive.Record, bool, error) {
+		if ste.down.Load() {
+			return archive.Record{}, false, archive.ErrNotDone
+		}
+		return lookup(ctx, topic, part, key)
+	}
+	arc.Newest = func(ctx context.Context, topic string, part int) ([]archive.Record, int64, error) {
+		if ste.down.Load() {
+			return nil, 0, archive.ErrNotDone
+		}
+		return newest(ctx, topic, part)
+	}
 	return arc
 }
 
-// nobody is cut off from the store.
-const nobody = -1
+// After an outage of the store the entries come back in any order. One that reads the
+// claims before its own membership and the owner's are confirmed must leave the pool
+// to its owner.
+func TestOwnerOutlastsAnOutageOfTheStore(t *testing.T) {
+	ste := startSite(t, 1)
+	ste.awaitOwner(ste.entries[0])
+	ste.submit(ste.entries[0], job(1))
+	fence := ste.entries[0].Owner(pool).Fence()
+	other := ste.startEntry(coresOfEntry) // the pool's seat falls to it
+	time.Sleep(time.Second)
+	ste.down.Store(true)
+	time.Sleep(2500 * time.Millisecond)
+	ste.cut.Store(everybody)
+	ste.down.Store(false)
+	time.Sleep(700 * time.Millisecond)
+	ste.cut.Store(0)
+	time.Sleep(700 * time.Millisecond)
+	ste.cut.Store(nobody)
+	time.Sleep(1500 * time.Millisecond)
+	if other.Owner(pool) != nil {
+		t.Error("another entry has taken the pool from its live owner")
+	}
+	if own := ste.entries[0].Owner(pool); own == nil || own.Fence() != fence {
+		t.Error("the owner does not own the pool any more")
+	}
+	ste.stop()
+	ste.checkPromises()
+}
+
+// Nobody or everybody is cut off from the store.
+const (
+	nobody    = -1
+	everybody = -2
+)
 
 // stop ends all entries.
 func (ste *site) stop() {
