Serve what returns after an outage by first tries; empty VMs of a wave in turn

Three causes, played together, so one commit.

A VM that answers may be missing from the list for 2.5 s. Empty VMs wait for the store.

Few lasting tasks of a step may be away at once, VMs were emptied by id, so one asked at 7.4 s was empty at 27.6 s; and half of the tasks went to machines that the wave had still to come to. Those asked first go first, and lasting tasks keep away from VMs that are due.

A silent VM's tasks are away.

Each has a test that fails before.

--- a/internal/schedule/cell/cell.go
+++ b/internal/schedule/cell/cell.go
@@ -124,7 +124,7 @@
 	if _, ok := cel.jobs[jb.Plan.ID]; ok {
 		return
 	}
-	ent := cel.newEntry(now, jb)
+	ent := cel.newEntry(firstTry(now, jb), jb)
 	cel.jobs[jb.Plan.ID] = ent
 	cel.openDue(now, ent)
 	cel.keepTime(ent)
@@ -134,12 +134,21 @@
 	}
 }
 
-func (cel *Cell) newEntry(now time.Time, jb ledger.Job) *entry {
+// firstTry returns since when the job's caller has waited.
+func firstTry(now time.Time, jb ledger.Job) time.Time {
+	if jb.Accepted.IsZero() || jb.Accepted.After(now) {
+		return now
+	}
+	return jb.Accepted
+}
+
+// newEntry returns the state of a job whose caller has waited since then.
+func (cel *Cell) newEntry(since time.Time, jb ledger.Job) *entry {
 	que, _ := cel.queueOf(jb.Queue)
 	chain := jb.Plan.Chain()
 	return &entry{
-		plan: jb.Plan, queue: jb.Queue, accepted: now, remaining: chain, home: jb.Zone,
-		objective: now.Add(time.Duration(que.Factor*float64(chain)) + que.Goal),
+		plan: jb.Plan, queue: jb.Queue, accepted: since, remaining: chain, home: jb.Zone,
+		objective: since.Add(time.Duration(que.Factor*float64(chain)) + que.Goal),
 		rounds:    make([]*round, jb.Plan.Occurrences()),
 	}
 }
--- a/internal/schedule/cell/cell_test.go
+++ b/internal/schedule/cell/cell_test.go
@@ -75,6 +75,48 @@
 	}
 }
 
+// While the store is away announcements lapse, and they are back within 2 s of its
+// return. A VM that answers gets work meanwhile; one that stays away is left out.
+func TestVMThatAnswersOutlastsItsAnnouncement(t *testing.T) {
+	cel, _ := newCell(true)
+	settle(start, cel, vm("a", 1))
+	cel.SetHosts(start, nil)
+	now := start.Add(time.Second)
+	cel.Report(now, now, "a", agent.Report{Born: 1})
+	accept(now, cel, step(8, 1000))
+	if got := len(starts(cel.Plan(now))); got != 4 {
+		t.Errorf("%d starts on a VM of 4 cores a second after its announcement lapsed, want 4", got)
+	}
+	now = start.Add(3 * time.Second)
+	var ended []agent.End
+	for i := range 4 {
+		ended = append(ended, agent.End{Number: int64(i + 1), Task: task.ID{Job: jobID, Index: i}, Run: 1, How: agent.EndedDone})
+	}
+	cel.Report(now, now, "a", agent.Report{Born: 1, Ended: ended})
+	if got := len(starts(cel.Plan(now))); got != 0 {
+		t.Errorf("%d starts on a VM that has not been listed for 3 s", got)
+	}
+}
+
+// A job's objective counts from its caller's first try, so one that was refused for
+// long gives way to one that can still end in time.
+func TestCallersThatWaitedInVainCountTheirWait(t *testing.T) {
+	cel, _ := newCell(true)
+	settle(start, cel, vm("a", 1))
+	late := ledger.Job{Queue: "q", Accepted: start.Add(-4 * time.Second), Plan: &plan.Plan{ID: "00000000000000aa", Steps: []plan.Step{step(4, 1000)}}}
+	cel.Accept(start, late)
+	accept(start, cel, step(4, 1000))
+	orders := starts(cel.Plan(start))
+	for _, ord := range orders {
+		if ord.Task.Job != jobID {
+			t.Errorf("task %s starts before the job that can end in time", ord.Task)
+		}
+	}
+	if len(orders) != 4 {
+		t.Errorf("%d starts, want 4", len(orders))
+	}
+}
+
 func TestStartsWithinCapacity(t *testing.T) {
 	cel, _ := newCell(true)
 	settle(start, cel, vm("a", 1), vm("b", 1))
--- a/internal/schedule/cell/host.go
+++ b/internal/schedule/cell/host.go
@@ -28,7 +28,7 @@
 	}
 	for id, mac := range cel.vms {
 		if mac.isListed && !listed[id] {
-			mac.isListed = false
+			mac.isListed, mac.unlistedAt = false, now
 			cel.cfg.Event(now, "vmUnlisted", slog.String("vm", id), slog.Int("tasks", len(mac.works)))
 		}
 	}
@@ -90,6 +90,16 @@
 	cel.goneVMs[mac.host.ID] = true
 }
 
+// relistWithin is how long a VM that the list has lost may take to be listed again.
+// Announcements lapse while the store is away and are back within 2 s of its return.
+const relistWithin = 2500 * time.Millisecond
+
+// isPresent reports whether the VM is listed, or may be again soon. Whether it still
+// lives is told by its answers, and orders name the life that they are for.
+func (mac *machine) isPresent(now time.Time) bool {
+	return mac.isListed || !mac.unlistedAt.IsZero() && now.Sub(mac.unlistedAt) < relistWithin
+}
+
 // RestoreHost adds a VM that an earlier owner may have used.
 func (cel *Cell) RestoreHost(now time.Time, hst host.Host) {
 	mac := newMachine(hst)
--- a/internal/schedule/cell/leaving_test.go
+++ b/internal/schedule/cell/leaving_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"daisywheel/internal/fleet/agent"
+	"daisywheel/internal/fleet/host"
 	"daisywheel/internal/schedule/cell"
 )
 
@@ -31,6 +32,69 @@
 	}
 }
 
+// In a wave of 254 machines, of which 98 may be down, VMs are asked to empty all the
+// time while one task of a step may be away. One that was asked first must not wait
+// for all that were asked later.
+func TestVMThatWaitsLongestIsEmptiedFirst(t *testing.T) {
+	cel, _ := newCell(true)
+	settle(start, cel, vm("a", 1), vm("b", 1), vm("z", 1))
+	stp := step(3, 100)
+	stp.IsLasting, stp.MaxPerVM, stp.MaxAway = true, 1, 1
+	accept(start, cel, stp)
+	for _, ord := range starts(cel.Plan(start)) {
+		cel.Started(start, ord, agent.Done)
+		cel.Report(start, start, ord.Target.VM, agent.Report{Born: 1, Active: []agent.Run{{Task: ord.Task, Number: ord.Run, Percent: 100}}})
+	}
+	cel.SetLeaving(start, map[string]bool{"z": true})
+	later := start.Add(time.Second)
+	cel.SetHosts(later, []host.Host{vm("a", 1), vm("b", 1), vm("c", 1), vm("z", 1)})
+	cel.Recorded(cel.TakeBatch())
+	cel.Report(later, later, "c", agent.Report{Born: 1})
+	cel.SetLeaving(later, map[string]bool{"a": true, "b": true, "z": true})
+	orders := cel.Plan(later)
+	if len(orders) != 1 || orders[0].Kind != cell.StopTask || orders[0].Target.VM != "z" {
+		t.Errorf("orders %+v, want one stop on z, which was asked first", orders)
+	}
+}
+
+// Hunted day 5528-3 of the compost site: a rack goes dark, and another VM with a task
+// of the same step is emptied for maintenance before the lease of the first has ended.
+func TestTaskOnASilentVMIsAway(t *testing.T) {
+	cel, _ := newCell(true)
+	settle(start, cel, vm("a", 1), vm("b", 1))
+	stp := step(2, 100)
+	stp.IsLasting, stp.MaxPerVM, stp.MaxAway = true, 1, 1
+	accept(start, cel, stp)
+	for _, ord := range starts(cel.Plan(start)) {
+		cel.Started(start, ord, agent.Done)
+		cel.Report(start, start, ord.Target.VM, agent.Report{Born: 1, Active: []agent.Run{{Task: ord.Task, Number: ord.Run, Percent: 100}}})
+	}
+	cel.SetHosts(start, []host.Host{vm("a", 1), vm("b", 1), vm("c", 1)})
+	cel.Recorded(cel.TakeBatch())
+	cel.Report(start, start, "c", agent.Report{Born: 1})
+	cel.Unanswered("b")
+	cel.SetLeaving(start, map[string]bool{"a": true})
+	for _, now := range []time.Time{start, start.Add(3 * time.Second)} {
+		if orders := cel.Plan(now); len(orders) != 0 {
+			t.Errorf("orders %+v while the other task's VM does not answer, one may be away", orders)
+		}
+	}
+}
+
+func TestLastingTasksKeepAwayFromVMsThatAreDue(t *testing.T) {
+	cel, _ := newCell(true)
+	settle(start, cel, vm("a", 1), vm("b", 1), vm("c", 1))
+	cel.SetDue(map[string]bool{"a": true, "b": true})
+	stp := step(2, 100)
+	stp.IsLasting = true
+	accept(start, cel, stp)
+	for _, ord := range starts(cel.Plan(start)) {
+		if ord.Target.VM != "c" {
+			t.Errorf("task %s starts on %s, which a wave will come to", ord.Task, ord.Target.VM)
+		}
+	}
+}
+
 func TestPoolReportsVMsThatLastingTasksLack(t *testing.T) {
 	cel, _ := newCell(true)
 	settle(start, cel, vm("a", 1), vm("b", 1))
--- a/internal/schedule/cell/place.go
+++ b/internal/schedule/cell/place.go
@@ -51,7 +51,7 @@
 	cel.usable = cel.usable[:0]
 	fresh := now.Add(-staleAfter)
 	for _, mac := range cel.machines() {
-		if mac.isUsable() && !mac.heardAt.Before(fresh) && !now.Before(mac.quietUntil) {
+		if mac.isUsable(now) && !mac.heardAt.Before(fresh) && !now.Before(mac.quietUntil) {
 			cel.usable = append(cel.usable, mac)
 		}
 	}
@@ -212,7 +212,7 @@
 		}
 		cost := fit.Score(stg.step, fit.Candidate{
 			Room: mac.room(), Capacity: mac.host.Capacity, IsNear: mac.host.Has(stg.step.Rack),
-			IsAvoided: wrk.avoid == mac.host.ID, Serving: mac.serving, Helpers: mac.helpers, Same: mac.perStage[stg],
+			IsAvoided: wrk.avoid == mac.host.ID, Serving: mac.serving, Helpers: mac.helpers, Same: mac.perStage[stg], IsDue: mac.isDue,
 		})
 		if best == nil || cost < bestCost {
 			best, bestCost = mac, cost
@@ -222,8 +222,8 @@
 }
 
 // isUsable reports whether nothing but time keeps tasks from the VM.
-func (mac *machine) isUsable() bool {
-	return mac.isHeld && mac.isRecorded && mac.isListed && !mac.isSilent && !mac.isLeaving &&
+func (mac *machine) isUsable(now time.Time) bool {
+	return mac.isHeld && mac.isRecorded && mac.isPresent(now) && !mac.isSilent && !mac.isLeaving &&
 		!mac.host.IsDraining && len(mac.strays) == 0
 }
 
--- a/internal/schedule/cell/pool.go
+++ b/internal/schedule/cell/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"daisywheel/internal/fleet/balance"
@@ -15,7 +16,7 @@
 		vm := balance.VM{
 			ID: mac.host.ID, MilliCores: mac.host.Capacity.MilliCores, Tasks: len(mac.works) + len(mac.strays),
 			Since: mac.firstHeard, IsLeaving: mac.isLeaving, IsSilent: mac.isSilent,
-			IsUsable: mac.isHeld && mac.isListed && !mac.host.IsDraining && now.Sub(mac.heardAt) <= staleAfter,
+			IsUsable: mac.isHeld && mac.isPresent(now) && !mac.host.IsDraining && now.Sub(mac.heardAt) <= staleAfter,
 		}
 		if mac.acked < mac.seen {
 			vm.Tasks++ // ends that are not stored would be lost with the VM
@@ -60,12 +61,30 @@
 	}
 }
 
-// planLeaving stops lasting tasks on VMs that are to be emptied.
-func (cel *Cell) planLeaving(now time.Time) {
+// SetDue says which VMs a wave of maintenance will come to.
+func (cel *Cell) SetDue(due map[string]bool) {
+	for id, mac := range cel.vms {
+		mac.isDue = due[id]
+	}
+}
+
+// leaving returns the VMs that are to be emptied, the one that has waited longest
+// first. Few tasks of a step may be away at once, and if VMs that are asked later
+// went first, the others would wait for ever in a long wave.
+func (cel *Cell) leaving() []*machine {
+	var list []*machine
 	for _, mac := range cel.machines() {
-		if !mac.isLeaving {
-			continue
+		if mac.isLeaving {
+			list = append(list, mac)
 		}
+	}
+	slices.SortStableFunc(list, func(one, two *machine) int { return one.leavingAt.Compare(two.leavingAt) })
+	return list
+}
+
+// planLeaving stops lasting tasks on VMs that are to be emptied.
+func (cel *Cell) planLeaving(now time.Time) {
+	for _, mac := range cel.leaving() {
 		for _, wrk := range mac.works {
 			if wrk.phase != running || !wrk.step.step.IsLasting {
 				continue
@@ -94,18 +113,24 @@
 	return now.Sub(wrk.vm.leavingAt) > roomWait || cel.choose(wrk.step, wrk) != nil
 }
 
-// away returns how many other tasks of the stage are not at work.
+// away returns how many other tasks of the stage are not known to be at work.
 func (stg *stage) away(but *work) int {
 	count := 0
 	for i := range stg.works {
 		other := &stg.works[i]
-		if other != but && (other.phase != running || other.percent < fullPace) {
+		if other != but && !other.isAtWork() {
 			count++
 		}
 	}
 	return count
 }
 
+// isAtWork reports whether the task is known to be at work. What a VM said before it
+// fell silent tells nothing of now.
+func (wrk *work) isAtWork() bool {
+	return wrk.phase == running && wrk.percent >= fullPace && !wrk.vm.isSilent
+}
+
 // heldUpAfter is how long a VM may take to be emptied before a line tells why.
 const heldUpAfter = 5 * time.Second
 
--- a/internal/schedule/cell/record.go
+++ b/internal/schedule/cell/record.go
@@ -159,10 +159,7 @@
 		}
 		return
 	}
-	ent := cel.newEntry(now, *jb)
-	age := max(0, now.Sub(jb.Accepted))
-	ent.objective = ent.objective.Add(-age)
-	ent.accepted = now.Add(-age)
+	ent := cel.newEntry(firstTry(now, *jb), *jb)
 	ent.zones = prg.Zones
 	ent.isOld, ent.recorded = !cel.cfg.IsFirst, prg.State
 	ent.isBegun = prg.State == ledger.Running
--- a/internal/schedule/cell/state.go
+++ b/internal/schedule/cell/state.go
@@ -94,12 +94,14 @@
 type machine struct {
 	host       host.Host
 	isListed   bool
-	isRecorded bool // the store holds that the VM may run tasks
-	isOld      bool // an earlier owner may have left tasks there that are not known
-	isHeld     bool // it has answered this owner
-	isSilent   bool // the last look got no answer
-	isLeaving  bool // it is to be emptied for maintenance or a move
+	unlistedAt time.Time // when the list has lost it
+	isRecorded bool      // the store holds that the VM may run tasks
+	isOld      bool      // an earlier owner may have left tasks there that are not known
+	isHeld     bool      // it has answered this owner
+	isSilent   bool      // the last look got no answer
+	isLeaving  bool      // it is to be emptied for maintenance or a move
 	leavingAt  time.Time
+	isDue      bool // a wave of maintenance will come to it
 	isHeldUp   bool // it has been told why it takes long to be emptied
 	born       int64
 	clock      time.Duration // at clockAt
--- a/internal/schedule/fit/fit.go
+++ b/internal/schedule/fit/fit.go
@@ -1,7 +1,9 @@
 // Package fit chooses the VM for a task among those that have room. Finite work
 // is packed on the fullest VM that holds it, which leaves whole VMs free for
-// large tasks, maintenance and moves. Background work avoids VMs with tasks
-// that serve users, since it slows them down.
+// large tasks, maintenance and moves. Lasting work keeps away from VMs that a
+// wave of maintenance will come to, as it would have to move once more.
+// Background work avoids VMs with tasks that serve users, since it slows them
+// down.
 package fit
 
 import "daisywheel/internal/job/plan"
@@ -15,6 +17,7 @@
 	Serving   int  // tasks with a bound on their tail
 	Helpers   int  // background tasks
 	Same      int  // tasks of the same step
+	IsDue     bool // a wave of maintenance will come to the VM
 }
 
 // Weights of the score, in parts of a whole VM's cores.
@@ -23,6 +26,7 @@
 	avoidWeight   = 4  // a VM that just failed the task is the last choice
 	servingWeight = 1  // one neighbour that serves counts as a whole VM's room
 	sameWeight    = .5 // spreads a lasting step over VMs
+	dueWeight     = 2  // a lasting task there has to move once more, which no packing is worth
 )
 
 // Score returns the cost of placing the task there; the lowest is best.
@@ -40,6 +44,9 @@
 	}
 	if stp.IsLasting {
 		cost += sameWeight * float64(cnd.Same)
+		if cnd.IsDue {
+			cost += dueWeight
+		}
 	}
 	if stp.Goal > 0 {
 		cost += servingWeight * float64(cnd.Helpers)
--- a/internal/schedule/ledger/ledger.go
+++ b/internal/schedule/ledger/ledger.go
@@ -37,7 +37,7 @@
 type Job struct {
 	Plan     *plan.Plan
 	Queue    string
-	Accepted time.Time // wall clock of the owner
+	Accepted time.Time // first try of the caller that the owner knows of, by its wall clock
 	Zone     string    // where its tasks run; empty for anywhere
 }
 
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -23,6 +23,7 @@
 	"daisywheel/internal/schedule/cell"
 	"daisywheel/internal/schedule/claim"
 	"daisywheel/internal/schedule/ledger"
+	"daisywheel/internal/schedule/refusal"
 )
 
 // Times of an owner.
@@ -65,6 +66,7 @@
 	looked  map[string]bool // VMs that a duty looks at
 	pending map[string]*submission
 	queued  []*submission // not yet part of an append
+	refused *refusal.Refusals
 	waiters []chan struct{}
 	// appendTime and orderTime are histograms of calls, in seconds.
 	appendTime *metrics.Histogram
@@ -96,7 +98,7 @@
 		return nil, err
 	}
 	own := &Owner{
-		cfg: cfg, fence: clm.Fence(), looked: map[string]bool{}, pending: map[string]*submission{},
+		cfg: cfg, fence: clm.Fence(), looked: map[string]bool{}, pending: map[string]*submission{}, refused: refusal.New(),
 		kick: make(chan struct{}, 1), flush: make(chan struct{}, 1), verify: make(chan struct{}, 1),
 		quit: make(chan struct{}), lost: make(chan struct{}), done: make(chan struct{}),
 	}
@@ -320,7 +322,9 @@
 func (own *Owner) Pool(now time.Time) balance.Pool {
 	own.mu.Lock()
 	defer own.mu.Unlock()
-	return own.cel.Pool(now)
+	pol := own.cel.Pool(now)
+	pol.Wanted += own.refused.Returning(now)
+	return pol
 }
 
 // SetLeaving says which VMs are to be emptied.
@@ -331,6 +335,13 @@
 	own.wake()
 }
 
+// SetDue says which VMs a wave of maintenance will come to.
+func (own *Owner) SetDue(vms map[string]bool) {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	own.cel.SetDue(vms)
+}
+
 // SetEnded takes in VMs whose life has ended, as the platform's list of machines
 // says.
 func (own *Owner) SetEnded(now time.Time, vms []string) {
--- a/internal/schedule/owner/store.go
+++ b/internal/schedule/owner/store.go
@@ -203,6 +203,7 @@
 	own.mu.Lock()
 	defer own.mu.Unlock()
 	for _, sub := range bat.subs {
+		own.refused.Add(sub.job.Accepted, sub.job.Plan)
 		own.settle(sub, fault.New(code.LogUnavailable, "the job was not stored"))
 	}
 	own.cel.Returned(bat.changes)
--- /dev/null
+++ b/internal/schedule/refusal/refusal.go
@@ -0,0 +1,107 @@
+// Package refusal remembers callers that were turned away from a pool. It answers
+// an outage of the store that meets a turn: nothing can be accepted, callers come
+// back within seconds, and all of their work arrives at once when the store does.
+// So the work that is about to return counts as wanted, and a job that is accepted
+// at last has its objective from its caller's first try, which keeps jobs that can
+// still end in time before those that cannot.
+package refusal
+
+import (
+	"time"
+
+	"daisywheel/internal/job/plan"
+)
+
+const (
+	// returnWithin is how long after a refusal its caller is expected back: the
+	// longest Retry-After that is told, and one repeat.
+	returnWithin = 4 * time.Second
+	// keepFor is how long a caller's first try is remembered: longer than an outage
+	// of the store takes, which is 4 to 9 s.
+	keepFor = 20 * time.Second
+	// dropEach is the pause between two looks for callers that are forgotten.
+	dropEach = time.Second
+	// mostKept bounds the memory to about a megabyte.
+	mostKept = 8192
+)
+
+// turned is a caller that was turned away.
+type turned struct {
+	first time.Time
+	last  time.Time
+	milli int64
+}
+
+// Refusals are the callers of one pool that were turned away lately. It is not safe
+// for concurrent use.
+type Refusals struct {
+	byID      map[string]turned
+	droppedAt time.Time
+}
+
+// New returns Refusals that remember nobody.
+func New() *Refusals { return &Refusals{byID: map[string]turned{}} }
+
+// Add takes in that the caller of a job was turned away.
+func (rfs *Refusals) Add(now time.Time, pln *plan.Plan) {
+	trn, isKnown := rfs.byID[pln.ID]
+	if !isKnown {
+		rfs.drop(now)
+		if len(rfs.byID) >= mostKept {
+			return
+		}
+		trn = turned{first: now, milli: firstDemand(pln)}
+	}
+	trn.last = now
+	rfs.byID[pln.ID] = trn
+}
+
+// firstDemand returns what the steps of a job that can start at once ask for, in
+// thousandths of a core.
+func firstDemand(pln *plan.Plan) int64 {
+	sum := int64(0)
+	for i := range pln.Steps {
+		stp := &pln.Steps[i]
+		if len(stp.After) == 0 && !stp.IsBackground && !pln.IsRepeating() {
+			sum += int64(stp.Count) * stp.Demand.MilliCores
+		}
+	}
+	return sum
+}
+
+// drop forgets callers that have not come back.
+func (rfs *Refusals) drop(now time.Time) {
+	if now.Sub(rfs.droppedAt) < dropEach {
+		return
+	}
+	rfs.droppedAt = now
+	for id, trn := range rfs.byID {
+		if now.Sub(trn.last) > keepFor {
+			delete(rfs.byID, id)
+		}
+	}
+}
+
+// Take returns when the caller of the job that is accepted now tried first, and
+// forgets it.
+func (rfs *Refusals) Take(now time.Time, id string) time.Time {
+	trn, isKnown := rfs.byID[id]
+	if !isKnown || now.Sub(trn.last) > keepFor {
+		return now
+	}
+	delete(rfs.byID, id)
+	return trn.first
+}
+
+// Returning returns what the work of the callers that are expected back asks for, in
+// thousandths of a core.
+func (rfs *Refusals) Returning(now time.Time) int64 {
+	sum := int64(0)
+	for _, trn := range rfs.byID {
+		if now.Sub(trn.last) <= returnWithin {
+			sum += trn.milli
+		}
+	}
+	rfs.drop(now)
+	return sum
+}
--- a/internal/schedule/service/fleet.go
+++ b/internal/schedule/service/fleet.go
@@ -100,15 +100,21 @@
 		}
 		svc.fleetAt = ""
 	}
-	lve := leave{vms: make(map[string]bool, len(wsh.Leaving)), at: now}
-	for _, vm := range wsh.Leaving {
-		lve.vms[vm] = true
-	}
+	lve := leave{vms: setOf(wsh.Leaving), at: now}
 	svc.leaving[pool] = lve
 	if own := svc.owners[pool]; own != nil {
 		own.SetLeaving(now, lve.vms)
 		own.SetEnded(now, wsh.Ended)
+		own.SetDue(setOf(wsh.Due))
+	}
+}
+
+func setOf(vms []string) map[string]bool {
+	set := make(map[string]bool, len(vms))
+	for _, vm := range vms {
+		set[vm] = true
 	}
+	return set
 }
 
 func (svc *Service) tellSteward(now time.Time, pol balance.Pool) (wishForm, error) {
@@ -117,7 +123,7 @@
 	svc.mu.Unlock()
 	if stw != nil {
 		leaving, ended := stw.Report(now, pol)
-		return wishForm{Leaving: leaving, Ended: ended}, nil
+		return wishForm{Leaving: leaving, Ended: ended, Due: stw.Due(pol)}, nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
@@ -163,8 +169,9 @@
 	if stw == nil {
 		return nil, fault.New(code.NotReady, "this entry is not the steward of the fleet")
 	}
-	leaving, ended := stw.Report(now, poolOf(now, frm))
-	return wishForm{Leaving: leaving, Ended: ended}, nil
+	pol := poolOf(now, frm)
+	leaving, ended := stw.Report(now, pol)
+	return wishForm{Leaving: leaving, Ended: ended, Due: stw.Due(pol)}, nil
 }
 
 // poolForm is a report between entries. Times are ages, as clocks differ.
@@ -193,6 +200,7 @@
 type wishForm struct {
 	Leaving []string `json:"leaving"`
 	Ended   []string `json:"ended"`
+	Due     []string `json:"due,omitempty"`
 }
 
 // longestAge stands for any longer time; a VM whose coming was not seen has none.
--- a/internal/schedule/steward/errand.go
+++ b/internal/schedule/steward/errand.go
@@ -1,7 +1,9 @@
 package steward
 
 import (
+	"cmp"
 	"log/slog"
+	"slices"
 	"time"
 )
 
@@ -58,7 +60,7 @@
 // expire gives up what takes too long: a VM that cannot be emptied, or a machine
 // that does not come back from a move.
 func (stw *Steward) expire(now time.Time) {
-	load := stw.load()
+	load, empty := stw.load(), stw.emptied(now)
 	for name, ern := range stw.tasks {
 		age, limit := now.Sub(ern.began), drainWithin
 		if load[ern.vm].Lasting > 0 {
@@ -67,7 +69,7 @@
 		switch {
 		case ern.isBusy || ern.isRestored:
 			continue
-		case ern.wave == 0 && (age > moveWithin || !ern.isOrdered && age > emptyWithin):
+		case ern.wave == 0 && (age > moveWithin || !ern.isOrdered && age > emptyWithin && !empty[ern.vm]):
 		case ern.wave > 0 && !ern.isOrdered && age > limit && stw.isAnyLeft(now, stw.waveOf(ern.wave)):
 			stw.waveOf(ern.wave).stays[name] = now.Add(stayPause)
 		default:
@@ -79,33 +81,42 @@
 	}
 }
 
-// ready returns the errands whose VM is empty.
+// ready returns the errands whose VM is empty, the oldest first.
 func (stw *Steward) ready(now time.Time) []*errand {
-	empty := map[string]bool{}
-	for _, rpt := range stw.reports {
-		if now.Sub(rpt.at) > reportAge {
-			continue
-		}
-		for _, vm := range rpt.pool.VMs {
-			empty[vm.ID] = vm.IsLeaving && vm.Tasks == 0
-		}
-	}
+	empty := stw.emptied(now)
 	var ready []*errand
 	for _, ern := range stw.tasks {
-		if len(ready) == stw.perRound() {
-			break
-		}
 		mac, ok := stw.machines[ern.machine]
 		wasEmpty := ern.isOrdered && ern.emptied == ern.vm
 		isEmpty := empty[ern.vm] || wasEmpty || ern.isRestored && !mac.IsUp || stw.isStandby(mac.Pool)
 		if !ok || stw.isHeldBack(now, ern.machine) || !isEmpty || ern.isDone || ern.isBusy || now.Sub(ern.orderedAt) < orderRetry {
 			continue
 		}
-		ern.isBusy, ern.emptied = true, ern.vm
 		ready = append(ready, ern)
 	}
+	slices.SortFunc(ready, func(one, two *errand) int {
+		return cmp.Or(one.began.Compare(two.began), cmp.Compare(one.machine, two.machine))
+	})
+	ready = ready[:min(len(ready), stw.perRound())]
+	for _, ern := range ready {
+		ern.isBusy, ern.emptied = true, ern.vm
+	}
 	return ready
 }
 
+// emptied returns the VMs that their owners have emptied, by late reports.
+func (stw *Steward) emptied(now time.Time) map[string]bool {
+	empty := map[string]bool{}
+	for _, rpt := range stw.reports {
+		if now.Sub(rpt.at) > reportAge {
+			continue
+		}
+		for _, vm := range rpt.pool.VMs {
+			empty[vm.ID] = vm.IsLeaving && vm.Tasks == 0
+		}
+	}
+	return empty
+}
+
 // perRound returns how many orders may go out in a round.
 func (stw *Steward) perRound() int { return max(1, int(orderShare*stw.cfg.OrderRate*round.Seconds())) }
--- a/internal/schedule/steward/steward_test.go
+++ b/internal/schedule/steward/steward_test.go
@@ -14,6 +14,7 @@
 	"daisywheel/internal/fleet/directory"
 	"daisywheel/internal/fleet/queue"
 	"daisywheel/internal/fleet/upkeep"
+	"daisywheel/internal/schedule/archive"
 	"daisywheel/internal/schedule/steward"
 	"daisywheel/internal/standin/logstore"
 )
@@ -346,6 +347,59 @@
 	})
 }
 
+func TestPoolWithLastingTasksIsToldWhichVMsAreDue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newPlatform("gate", "haul")
+		stw := open(t, store, plt, "first")
+		stw.Request(time.Now(), upkeep.Wave{Number: 1, Machines: []string{"gate-0", "gate-1", "haul-0"}, Cap: 1, Within: time.Minute})
+		plt.run(stw, 0, time.Second)
+		pol := plt.report("gate", 0)
+		if due := stw.Due(pol); len(due) != 0 {
+			t.Errorf("%v are due in a pool without lasting tasks", due)
+		}
+		pol.VMs[0].Lasting = 1
+		first := stw.Due(pol)
+		plt.run(stw, 0, 20*time.Second)
+		pol = plt.report("gate", 0)
+		pol.VMs[0].Lasting = 1
+		last := stw.Due(pol)
+		stw.Close()
+		if len(first) == 0 || len(first) > 2 {
+			t.Errorf("%v are due early in the wave, want VMs of gate-0 and gate-1", first)
+		}
+		if len(last) != 0 {
+			t.Errorf("%v are due after the wave", last)
+		}
+	})
+}
+
+// VMs that are empty and only wait for the store keep waiting, so that they move as
+// soon as it is back.
+func TestEmptyVMsWaitForTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		store := logstore.New(logstore.Config{Latency: 4 * time.Millisecond, Fault: func(app archive.Append) logstore.Fault {
+			if now := time.Since(began); app.Topic == "fleet" && now > 100*time.Millisecond && now < 6*time.Second {
+				return logstore.Down
+			}
+			return logstore.None
+		}})
+		plt := newPlatform("gate", "haul")
+		stw := open(t, store, plt, "first")
+		plt.run(stw, 10*16000, time.Second)
+		plt.run(stw, 0, 4*time.Second) // nothing more is accepted, so nothing more is wanted
+		leaving, _ := stw.Report(time.Now(), plt.report("haul", 0))
+		if len(leaving) == 0 {
+			t.Error("the VMs that were emptied before are not kept empty")
+		}
+		plt.run(stw, 0, 1500*time.Millisecond)
+		stw.Close()
+		if len(plt.orders) == 0 {
+			t.Error("nothing was ordered half a second after the store was back")
+		}
+	})
+}
+
 // restart gives a machine that is up another life.
 func (plt *platform) restart(machine string) {
 	plt.mu.Lock()
--- a/internal/schedule/steward/wave.go
+++ b/internal/schedule/steward/wave.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"daisywheel/internal/fleet/balance"
 	"daisywheel/internal/fleet/upkeep"
 )
 
@@ -62,11 +63,38 @@
 		}
 		for _, name := range upkeep.Next(cands, upkeep.Room{Cap: wav.request.Cap, Free: free, Lasting: stw.slow(number, load)}) {
 			stw.tasks[name] = &errand{machine: name, vm: stw.machines[name].VM, wave: number, began: now}
-			stw.cfg.Journal.Event(now, "upkeepBegun", slog.Int64("wave", number), slog.String("machine", name))
+			stw.cfg.Journal.Event(now, "upkeepBegun", slog.Int64("wave", number), slog.String("machine", name), slog.String("vm", stw.machines[name].VM))
 		}
 	}
 }
 
+// Due returns the VMs of a pool that a wave has not come to yet, if the pool has
+// lasting tasks that should keep away from them.
+func (stw *Steward) Due(pol balance.Pool) []string {
+	stw.mu.Lock()
+	defer stw.mu.Unlock()
+	isDue := map[string]bool{}
+	for _, wav := range stw.waves {
+		for _, name := range wav.request.Machines {
+			if mac, ok := stw.machines[name]; ok && !wav.done[name] {
+				isDue[mac.VM] = true
+			}
+		}
+	}
+	var due []string
+	lasting := 0
+	for _, vm := range pol.VMs {
+		lasting += vm.Lasting
+		if isDue[vm.ID] {
+			due = append(due, vm.ID)
+		}
+	}
+	if lasting == 0 {
+		return nil
+	}
+	return due
+}
+
 // load returns what runs on each VM, by the latest reports.
 func (stw *Steward) load() map[string]upkeep.Candidate {
 	load := map[string]upkeep.Candidate{}
