Tell callers that can still be in time to come back first

Retry-After was 1 s for everybody. While the store is away, callers that have tried for 2 s end late whatever happens; they are told 3 s, so that five tries last for 8 s and they do not meet those that can still be in time. The time crosses the peer link with the refusal.

--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -115,11 +115,34 @@
 	}
 	out, err := hnd(ctx, params)
 	if err != nil {
-		return nil, &jsonrpc2.Error{Code: int64(fault.CodeOf(err)), Message: err.Error()}
+		return nil, errorOf(err)
 	}
 	return out, nil
 }
 
+// extra is what an error carries beside its code and message.
+type extra struct {
+	RetryAfterMs int64 `json:"retryAfterMs"`
+}
+
+func errorOf(err error) *jsonrpc2.Error {
+	rpc := &jsonrpc2.Error{Code: int64(fault.CodeOf(err)), Message: err.Error()}
+	if wait := fault.WaitOf(err); wait > 0 {
+		rpc.SetError(extra{RetryAfterMs: wait.Milliseconds()})
+	}
+	return rpc
+}
+
+func faultOf(rpc *jsonrpc2.Error) error {
+	var ext extra
+	if rpc.Data != nil {
+		if err := json.Unmarshal(*rpc.Data, &ext); err != nil {
+			ext.RetryAfterMs = 0 // the refusal holds without the time
+		}
+	}
+	return fault.NewLater(time.Duration(ext.RetryAfterMs)*time.Millisecond, code.Code(rpc.Code), "%s", rpc.Message)
+}
+
 // Call asks the peer at the address and decodes its answer into out. A call
 // that fails may or may not have been carried out.
 func (lnk *Link) Call(ctx context.Context, address, method string, params, out any) error {
@@ -130,7 +153,7 @@
 	err = rpc.Call(ctx, method, params, out)
 	var answer *jsonrpc2.Error
 	if errors.As(err, &answer) {
-		return fault.New(code.Code(answer.Code), "%s", answer.Message)
+		return faultOf(answer)
 	}
 	if err != nil {
 		lnk.drop(address, rpc)
--- a/internal/peer/link/link_test.go
+++ b/internal/peer/link/link_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"testing"
+	"time"
 
 	"daisywheel/internal/peer/link"
 	"daisywheel/internal/result/code"
@@ -16,6 +17,9 @@
 	lnk := link.New(link.Config{})
 	lnk.Handle("echo", func(_ context.Context, params json.RawMessage) (any, error) { return params, nil })
 	lnk.Handle("refuse", func(context.Context, json.RawMessage) (any, error) { return nil, fault.New(code.NotReady, "not here") })
+	lnk.Handle("later", func(context.Context, json.RawMessage) (any, error) {
+		return nil, fault.NewLater(3*time.Second, code.LogUnavailable, "not now")
+	})
 	if err := lnk.Listen(address); err != nil {
 		t.Fatal(err)
 	}
@@ -60,3 +64,15 @@
 		t.Errorf("%v, want the peer's refusal", err)
 	}
 }
+
+func TestRefusalCarriesItsTime(t *testing.T) {
+	address := freeAddress(t)
+	peer := serve(t, address)
+	defer peer.Close()
+	asker := link.New(link.Config{})
+	defer asker.Close()
+	err := asker.Call(t.Context(), address, "later", nil, nil)
+	if fault.CodeOf(err) != code.LogUnavailable || fault.WaitOf(err) != 3*time.Second {
+		t.Errorf("%v after %s, want the peer's refusal and 3 s", err, fault.WaitOf(err))
+	}
+}
--- a/internal/result/fault/fault.go
+++ b/internal/result/fault/fault.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -13,6 +14,7 @@
 type Fault struct {
 	code   code.Code
 	detail string
+	wait   time.Duration
 }
 
 // New returns a Fault with a formatted detail.
@@ -20,6 +22,13 @@
 	return &Fault{code: cd, detail: fmt.Sprintf(format, args...)}
 }
 
+// NewLater returns a Fault for what may be tried again after a time.
+func NewLater(wait time.Duration, cd code.Code, format string, args ...any) *Fault {
+	flt := New(cd, format, args...)
+	flt.wait = wait
+	return flt
+}
+
 // Wrap returns an error that carries cd and keeps cause for inspection.
 func Wrap(cause error, cd code.Code, format string, args ...any) error {
 	flt := New(cd, format+": %v", append(args, cause)...)
@@ -37,6 +46,16 @@
 // Detail returns the sentence about this case.
 func (flt *Fault) Detail() string { return flt.detail }
 
+// WaitOf returns the time after which what err refused may be tried again, 0 when err
+// names none.
+func WaitOf(err error) time.Duration {
+	var flt *Fault
+	if errors.As(err, &flt) {
+		return flt.wait
+	}
+	return 0
+}
+
 // CodeOf returns the code carried by err, PlatformError when it carries none,
 // and OK for a nil error.
 func CodeOf(err error) code.Code {
--- a/internal/schedule/owner/requests.go
+++ b/internal/schedule/owner/requests.go
@@ -25,9 +25,9 @@
 			return fault.New(code.NotReady, "the pool changes its owner")
 		}
 		if !own.stuck.IsZero() && now.Sub(own.stuck) > stuckAfter {
-			own.refused.Add(now, pln)
+			wait := own.refused.Add(now, pln)
 			own.mu.Unlock()
-			return fault.New(code.LogUnavailable, "nothing can be stored since %s", now.Sub(own.stuck).Round(time.Millisecond))
+			return fault.NewLater(wait, code.LogUnavailable, "nothing can be stored since %s", now.Sub(own.stuck).Round(time.Millisecond))
 		}
 		sub = &submission{job: ledger.Job{Plan: pln, Queue: queue, Accepted: own.refused.Take(now, pln.ID)}, stored: make(chan struct{})}
 		own.pending[pln.ID] = sub
--- a/internal/schedule/owner/store.go
+++ b/internal/schedule/owner/store.go
@@ -203,8 +203,8 @@
 	own.mu.Lock()
 	defer own.mu.Unlock()
 	for _, sub := range bat.subs {
-		own.refused.Add(sub.job.Accepted, sub.job.Plan)
-		own.settle(sub, fault.New(code.LogUnavailable, "the job was not stored"))
+		wait := own.refused.Add(sub.job.Accepted, sub.job.Plan)
+		own.settle(sub, fault.NewLater(wait, code.LogUnavailable, "the job was not stored"))
 	}
 	own.cel.Returned(bat.changes)
 	own.waiters = append(own.waiters, bat.waiters...)
--- a/internal/schedule/refusal/refusal.go
+++ b/internal/schedule/refusal/refusal.go
@@ -14,8 +14,16 @@
 
 const (
 	// returnWithin is how long after a refusal its caller is expected back: the
-	// longest Retry-After that is told, and one repeat.
-	returnWithin = 4 * time.Second
+	// longest time that is told, and some slack.
+	returnWithin = longWait + time.Second
+	// soon is what a caller is told whose job may still end in time: the shortest time
+	// that callers can be told, as HTTP counts whole seconds.
+	soon = time.Second
+	// longWait is what a caller is told that has tried for lateAfter: its job ends late
+	// whatever happens, so its tries should outlast the outage, most of which take 4 to
+	// 5 s, and not meet those that can still be in time. Callers try five times.
+	longWait  = 3 * time.Second
+	lateAfter = 2 * time.Second
 	// keepFor is how long a caller's first try is remembered: longer than an outage
 	// of the store takes, which is 4 to 9 s.
 	keepFor = 20 * time.Second
@@ -42,18 +50,23 @@
 // New returns Refusals that remember nobody.
 func New() *Refusals { return &Refusals{byID: map[string]turned{}} }
 
-// Add takes in that the caller of a job was turned away.
-func (rfs *Refusals) Add(now time.Time, pln *plan.Plan) {
+// Add takes in that the caller of a job is turned away, and returns after what time it
+// should come back.
+func (rfs *Refusals) Add(now time.Time, pln *plan.Plan) time.Duration {
 	trn, isKnown := rfs.byID[pln.ID]
 	if !isKnown {
 		rfs.drop(now)
 		if len(rfs.byID) >= mostKept {
-			return
+			return longWait
 		}
 		trn = turned{first: now, milli: firstDemand(pln)}
 	}
 	trn.last = now
 	rfs.byID[pln.ID] = trn
+	if now.Sub(trn.first) >= lateAfter {
+		return longWait
+	}
+	return soon
 }
 
 // firstDemand returns what the steps of a job that can start at once ask for, in
--- a/internal/schedule/refusal/refusal_test.go
+++ b/internal/schedule/refusal/refusal_test.go
@@ -41,6 +41,23 @@
 	}
 }
 
+// Callers that can still be in time come back soon; the others when they no longer
+// stand in their way, so that five tries last for 8 s.
+func TestCallersComeBackInOrder(t *testing.T) {
+	rfs, began := refusal.New(), time.Unix(100, 0)
+	const tries, outage = 5, 8 * time.Second
+	at := time.Duration(0)
+	for try := range tries {
+		if try == tries-1 && at < outage {
+			t.Errorf("the last try is %s after the first, want %s", at, outage)
+		}
+		at += rfs.Add(began.Add(at), job(1))
+	}
+	if wait := rfs.Add(began.Add(outage), job(2)); wait != time.Second {
+		t.Errorf("a caller that has just come is to wait %s", wait)
+	}
+}
+
 func TestCallersThatWereNotTurnedAway(t *testing.T) {
 	rfs, now := refusal.New(), time.Unix(100, 0)
 	if got := rfs.Take(now, job(1).ID); !got.Equal(now) {
