Replace owners and the steward after a second of silence

Now 1 s, 0.25 s and 0.25 s, and as long a membership as the log asks for where that is longer (ttl_min_ms): before, such a log would have refused every join.

--- a/internal/schedule/group/group.go
+++ b/internal/schedule/group/group.go
@@ -25,11 +25,12 @@
 
 // Times of a membership.
 const (
-	// ttl is how long a silent member keeps its partitions: three joins. Callers of a
-	// pool whose owner is gone wait as long, so it is near the least that is allowed.
-	ttl = 1200 * time.Millisecond
+	// ttl is how long a silent member keeps its partitions: four joins. Callers of a
+	// pool whose owner is gone wait as long, so it is the least that the logs of the users take; one that takes no less
+	// has the last word.
+	ttl = time.Second
 	// joinEach is the pause between joins.
-	joinEach = 400 * time.Millisecond
+	joinEach = 250 * time.Millisecond
 	// joinTimeout bounds one join: its usual 4 ms, 150 times over.
 	joinTimeout = 600 * time.Millisecond
 	// leaveTimeout bounds the goodbye of a process that stops.
@@ -77,6 +78,7 @@
 	Name       string // of this start of the entry
 	Grade      int
 	Partitions int
+	LeastTTL   time.Duration // that the log takes
 	Archive    archive.Client
 	Journal    *journal.Journal
 	// Changed is told the partitions after each join, and when it was sent.
@@ -100,7 +102,7 @@
 }
 
 func (grp *Group) member() archive.Member {
-	return archive.Member{Group: nameOf(grp.cfg.Grade), Name: grp.cfg.Name, Topic: topicName, TTL: ttl, Generation: grp.generation}
+	return archive.Member{Group: nameOf(grp.cfg.Grade), Name: grp.cfg.Name, Topic: topicName, TTL: max(ttl, grp.cfg.LeastTTL), Generation: grp.generation}
 }
 
 // Run joins until quit is closed, and then leaves.
--- a/internal/schedule/group/group_test.go
+++ b/internal/schedule/group/group_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"daisywheel/internal/event/journal"
 	"daisywheel/internal/schedule/archive"
 	"daisywheel/internal/schedule/group"
 )
@@ -51,3 +53,30 @@
 		t.Error("an unanswered question passes for an answer")
 	}
 }
+
+// A log that takes no short memberships would refuse every join.
+func TestMembershipIsAsLongAsTheLogAsks(t *testing.T) {
+	for _, tst := range []struct{ least, want time.Duration }{{0, time.Second}, {3 * time.Second, 3 * time.Second}} {
+		joined := make(chan time.Duration, 1)
+		arc := archive.Client{
+			Join: func(_ context.Context, mbr archive.Member) (archive.Share, error) {
+				select {
+				case joined <- mbr.TTL:
+				default:
+				}
+				return archive.Share{}, nil
+			},
+			Leave: func(context.Context, archive.Member) error { return nil },
+		}
+		quit := make(chan struct{})
+		grp := group.New(group.Config{
+			Name: "a", Partitions: 1, LeastTTL: tst.least, Archive: arc, Journal: journal.New(journal.Config{}),
+			Changed: func(time.Time, []int) {},
+		})
+		go grp.Run(quit)
+		if got := <-joined; got != tst.want {
+			t.Errorf("membership of %s where the log takes at least %s, want %s", got, tst.least, tst.want)
+		}
+		close(quit)
+	}
+}
--- a/internal/schedule/service/probe.go
+++ b/internal/schedule/service/probe.go
@@ -16,11 +16,11 @@
 const (
 	methodStanding = "owner.standing"
 	// probeTimeout bounds the question to an owner: 100 times the way between
-	// availability zones and back, and shorter than a membership.
-	probeTimeout = 400 * time.Millisecond
+	// availability zones and back, and a quarter of a membership.
+	probeTimeout = 250 * time.Millisecond
 	// aliveWithin is how old an owner's membership may be: nearly as old as one that
 	// lapses, so that whoever gets its partitions then finds the owner gone.
-	aliveWithin = 1100 * time.Millisecond
+	aliveWithin = 900 * time.Millisecond
 )
 
 // standing is how an entry stands to something that it may own.
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -57,12 +57,12 @@
 	openTimeout = 5 * time.Second
 	// firstJoin is how long after the start of an entry the first join is sent, if
 	// none before it has failed.
-	firstJoin = 300 * time.Millisecond
+	firstJoin = 200 * time.Millisecond
 	// rejoinDelay is how long an entry that comes back from an outage leaves pools
-	// to their owners: three joins.
+	// to their owners: five joins, or two that take as long as they may.
 	rejoinDelay = 1200 * time.Millisecond
 	// leaseLength is how long tasks outlive the last word of an owner: longer than
-	// a change of owner takes (a membership of 1.2 s, a claim and a look), and not
+	// a change of owner takes (a membership of 1 s, a claim and a look), and not
 	// much longer, as the tasks of a dead VM wait as long.
 	leaseLength = 5 * time.Second
 )
@@ -75,7 +75,8 @@
 	MilliCores  int // of the processor that the entry may use
 	LeaseMax    time.Duration
 	OrderLease  time.Duration
-	OrderRate   float64 // orders for machines a second, of the whole fleet
+	LeastTTL    time.Duration // of a membership, as the log takes it
+	OrderRate   float64       // orders for machines a second, of the whole fleet
 	StatusKept  time.Duration
 	Archive     archive.Client
 	Directory   directory.Client
@@ -130,7 +131,8 @@
 	grp := group.New(group.Config{
 		// Each start is a member of its own, as it knows nothing of the one before.
 		Name:  cfg.PeerAddress + "/" + strconv.FormatInt(now.UnixNano(), 36),
-		Grade: group.GradeOf(cfg.MilliCores), Partitions: cfg.Partitions, Archive: cfg.Archive, Journal: cfg.Journal, Changed: svc.dealt,
+		Grade: group.GradeOf(cfg.MilliCores), Partitions: cfg.Partitions, LeastTTL: cfg.LeastTTL,
+		Archive: cfg.Archive, Journal: cfg.Journal, Changed: svc.dealt,
 	})
 	svc.duties = []*part.Part{
 		part.Start("wishes", svc.followWishes),
