See a turn in its first half second

Cause: the rate of arrivals is that of the last second, so a pool whose turn begins asks for 0.4 of what it needs after 0.4 s. When so many more jobs come in two slots that a turn has begun, their rate counts.

--- a/internal/fleet/arrivals/arrivals.go
+++ b/internal/fleet/arrivals/arrivals.go
@@ -12,7 +12,10 @@
 
 const (
 	slot  = 200 * time.Millisecond
-	slots = 5 // a second: a tenth of a turn, and the largest jobs arrive 6 times in it
+	slots = 5 // a second: a quarter of a turn, and the largest jobs arrive 6 times in it
+	// brief is how many slots show a turn that has just begun: enough for ten jobs of
+	// the queue with the fewest.
+	brief = 2
 	// ahead is how far arrivals are forecast: the time that a VM takes to move.
 	ahead = 2 * time.Second
 	// certain is how many standard deviations of a difference of counts make a turn.
@@ -102,6 +105,23 @@
 // rateOf returns the rate of the work of a span.
 func rateOf(span Sum) int64 { return int64(float64(span.Work) / (slots * slot).Seconds()) }
 
+// rate returns the rate of work over the last second, or over the last slots alone when
+// so many more jobs came in them that a turn has begun.
+func (trk *track) rate() int64 {
+	last := trk.recent[max(0, len(trk.recent)-slots):]
+	whole := rateOf(sumOf(last))
+	if len(last) < slots {
+		return whole
+	}
+	before, now := sumOf(last[:slots-brief]), sumOf(last[slots-brief:])
+	share := float64(brief) / (slots - brief)
+	usual := share * float64(before.Jobs)
+	if float64(now.Jobs)-usual <= certain*math.Sqrt(float64(now.Jobs)+share*usual) {
+		return whole
+	}
+	return max(whole, int64(float64(now.Work)/(brief*slot).Seconds()))
+}
+
 // Rate returns what arrives at the pool, in thousandths of a core: what its work
 // takes while arrivals go on as in the last second.
 func (arr *Arrivals) Rate(pool string) int64 {
@@ -109,7 +129,7 @@
 	if !ok {
 		return 0
 	}
-	return rateOf(sumOf(trk.recent[max(0, len(trk.recent)-slots):]))
+	return trk.rate()
 }
 
 // Forecast returns what will arrive at the pool when a VM that moves now has come,
--- a/internal/fleet/arrivals/arrivals_test.go
+++ b/internal/fleet/arrivals/arrivals_test.go
@@ -88,3 +88,44 @@
 		t.Errorf("forecast %d after one job, rate %d", got, rate)
 	}
 }
+
+// In its turn a queue goes from 6 jobs a second to 120. The pool learns of the whole
+// rate within half a second, not when a second of the turn is over.
+func TestRateFollowsATurnAtOnce(t *testing.T) {
+	arr, now, sum := arrivals.New(), time.Unix(100, 0), arrivals.Sum{}
+	observe := func(jobs int64) {
+		sum.Jobs += jobs
+		sum.Work += jobs * 30000
+		now = now.Add(200 * time.Millisecond)
+		arr.Observe(now, "gate", sum)
+	}
+	arr.Observe(now, "gate", sum)
+	for num := range 30 {
+		observe(1 + int64(num%2))
+	}
+	if got := arr.Rate("gate"); got > 12*30000 {
+		t.Errorf("rate %d before the turn, want that of about 8 jobs a second", got)
+	}
+	observe(24)
+	observe(24)
+	if got := arr.Rate("gate"); got < 100*30000 {
+		t.Errorf("rate %d after 0.4 s of the turn, want that of 120 jobs a second", got)
+	}
+}
+
+// One large job in a queue of few is no turn.
+func TestRateOfFewJobsIsThatOfASecond(t *testing.T) {
+	arr, now, sum := arrivals.New(), time.Unix(100, 0), arrivals.Sum{}
+	arr.Observe(now, "haul", sum)
+	for num := range 20 {
+		if num%4 == 3 {
+			sum.Jobs++
+			sum.Work += 100000
+		}
+		now = now.Add(200 * time.Millisecond)
+		arr.Observe(now, "haul", sum)
+		if got := arr.Rate("haul"); got > 200000 {
+			t.Errorf("rate %d of a job each 0.8 s, want that of a second", got)
+		}
+	}
+}
