--- a/internal/schedule/cell/leaving_test.go
+++ b/internal/schedule/cell/leaving_test.go
@@ -9,6 +9,14 @@
 	"daisywheel/internal/schedule/cell"
 )
 
+// startAll starts what waits and lets the VMs report it at work.
+func startAll(cel *cell.Cell) {
+	for _, ord := range starts(cel.Plan(start)) {
+		cel.Started(start, ord, agent.Done)
+		cel.Report(start, start, ord.Target.VM, agent.Report{Born: 1, Active: []agent.Run{{Task: ord.Task, Number: ord.Run, Percent: 100}}})
+	}
+}
+
 // A pool that has lent its VMs has no other one for a lasting task. Its VM must be
 // emptied all the same, or the maintenance wave is never done.
 func TestLastingTaskLeavesThoughThereIsNoOtherVM(t *testing.T) {
@@ -17,10 +25,7 @@
 	stp := step(2, 100)
 	stp.IsLasting, stp.MaxPerVM, stp.MaxAway = true, 1, 1
 	accept(start, cel, stp)
-	for _, ord := range starts(cel.Plan(start)) {
-		cel.Started(start, ord, agent.Done)
-		cel.Report(start, start, ord.Target.VM, agent.Report{Born: 1, Active: []agent.Run{{Task: ord.Task, Number: ord.Run, Percent: 100}}})
-	}
+	startAll(cel)
 	cel.SetLeaving(start, map[string]bool{"a": true, "b": true})
 	if stops := len(cel.Plan(start)); stops > 0 {
 		t.Errorf("%d stops before another VM could be found", stops)
@@ -41,10 +46,7 @@
 	stp := step(3, 100)
 	stp.IsLasting, stp.MaxPerVM, stp.MaxAway = true, 1, 1
 	accept(start, cel, stp)
-	for _, ord := range starts(cel.Plan(start)) {
-		cel.Started(start, ord, agent.Done)
-		cel.Report(start, start, ord.Target.VM, agent.Report{Born: 1, Active: []agent.Run{{Task: ord.Task, Number: ord.Run, Percent: 100}}})
-	}
+	startAll(cel)
 	cel.SetLeaving(start, map[string]bool{"z": true})
 	later := start.Add(time.Second)
 	cel.SetHosts(later, []host.Host{vm("a", 1), vm("b", 1), vm("c", 1), vm("z", 1)})
@@ -65,10 +67,7 @@
 	stp := step(2, 100)
 	stp.IsLasting, stp.MaxPerVM, stp.MaxAway = true, 1, 1
 	accept(start, cel, stp)
-	for _, ord := range starts(cel.Plan(start)) {
-		cel.Started(start, ord, agent.Done)
-		cel.Report(start, start, ord.Target.VM, agent.Report{Born: 1, Active: []agent.Run{{Task: ord.Task, Number: ord.Run, Percent: 100}}})
-	}
+	startAll(cel)
 	cel.SetHosts(start, []host.Host{vm("a", 1), vm("b", 1), vm("c", 1)})
 	cel.Recorded(cel.TakeBatch())
 	cel.Report(start, start, "c", agent.Report{Born: 1})
