Begin with more machines of a wave that hold lasting tasks

With an eighth of the cap, 12 machines at a time, some of the 16 steps have none that could move next. The tests' figures follow the share; a case more holds the bound from the other side.

--- a/internal/fleet/upkeep/upkeep.go
+++ b/internal/fleet/upkeep/upkeep.go
@@ -25,8 +25,9 @@
 
 // lastingShare of the cap is used for machines with lasting tasks from the start, as
 // one in so many. Only few tasks of a step may be away at once, so these machines
-// take longest to empty; left to the end, they would be late.
-const lastingShare = 8
+// take longest to empty; left to the end, they would be late. With a third of the cap
+// each of 16 steps on 254 machines has a task that may move next.
+const lastingShare = 3
 
 // Room is what may be emptied now.
 type Room struct {
--- a/internal/fleet/upkeep/upkeep_test.go
+++ b/internal/fleet/upkeep/upkeep_test.go
@@ -15,7 +15,7 @@
 	order := []string{"idle", "calm", "busy", "lasting"}
 	for free := -1; free <= 5; free++ {
 		want := order[:max(0, min(free, len(order)))]
-		if got := upkeep.Next(cands, upkeep.Room{Cap: 8, Free: free, Lasting: 1}); !slices.Equal(got, want) {
+		if got := upkeep.Next(cands, upkeep.Room{Cap: 8, Free: free, Lasting: 2}); !slices.Equal(got, want) {
 			t.Errorf("%d may go down: %v, want %v", free, got, want)
 		}
 	}
@@ -45,8 +45,9 @@
 		rom           upkeep.Room
 		lasting, most int
 	}{
-		{upkeep.Room{Cap: 16, Free: 16}, 2, 16},
-		{upkeep.Room{Cap: 16, Free: 10, Lasting: 2}, 0, 10},
+		{upkeep.Room{Cap: 16, Free: 16}, 5, 16},
+		{upkeep.Room{Cap: 16, Free: 10, Lasting: 2}, 3, 10},
+		{upkeep.Room{Cap: 16, Free: 10, Lasting: 5}, 0, 10},
 		{upkeep.Room{Cap: 2, Free: 2}, 1, 2},
 		{upkeep.Room{Cap: 32, Free: 32}, 12, 32},
 		{upkeep.Room{Cap: 16, Free: 0}, 0, 0},
