Stop duties and owners of an entry side by side

An entry that stops waited for each duty, then the steward, then each owner, up to 2.5 s each while the store or VMs do not answer.

--- a/internal/kernel/part/part.go
+++ b/internal/kernel/part/part.go
@@ -48,6 +48,17 @@
 // Done returns a channel that is closed when the duty has ended.
 func (prt *Part) Done() <-chan struct{} { return prt.done }
 
+// StopAll asks the duties to end and waits until all have. Together they take as long
+// as the slowest.
+func StopAll(parts ...*Part) {
+	for _, prt := range parts {
+		prt.once.Do(func() { close(prt.quit) })
+	}
+	for _, prt := range parts {
+		<-prt.done
+	}
+}
+
 // Stop asks the duty to end and waits until it has.
 func (prt *Part) Stop() {
 	prt.once.Do(func() { close(prt.quit) })
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -180,19 +180,20 @@
 
 // Resign gives the pools to other entries. Requests go on to be served by them.
 func (svc *Service) Resign() {
-	for _, dty := range svc.duties[1:] {
-		dty.Stop()
-	}
+	part.StopAll(svc.duties[1:]...)
 	svc.mu.Lock()
 	owners, stw := svc.owners, svc.steward
 	svc.owners, svc.steward = map[string]*owner.Owner{}, nil
 	svc.mu.Unlock()
+	// Each may wait for calls of seconds, and the time until SIGKILL is short.
+	var grp sync.WaitGroup
 	if stw != nil {
-		stw.Close()
+		grp.Go(stw.Close)
 	}
 	for _, own := range owners {
-		own.Close()
+		grp.Go(own.Close)
 	}
+	grp.Wait()
 }
 
 // Stop ends the duties that are left.
