--- a/internal/schedule/steward/steward_test.go
+++ b/internal/schedule/steward/steward_test.go
@@ -41,6 +41,8 @@
 	backAt map[string]time.Time
 	orders []order
 	busy   map[string]bool // machines with a task that does not end
+	// leaving are the VMs that the steward has asked to be emptied.
+	leaving map[string]bool
 	// maintained are the machines of waves whose maintenance has been ordered: another
 	// order is answered alike and does nothing.
 	maintained map[string]bool
@@ -53,7 +55,7 @@
 const awayFor = 1500 * time.Millisecond
 
 func newPlatform(pools ...string) *platform {
-	plt := &platform{pools: map[string]string{}, lives: map[string]int{}, backAt: map[string]time.Time{}, maintained: map[string]bool{}}
+	plt := &platform{pools: map[string]string{}, lives: map[string]int{}, backAt: map[string]time.Time{}, maintained: map[string]bool{}, leaving: map[string]bool{}}
 	for _, pool := range pools {
 		for i := range 8 {
 			plt.pools[fmt.Sprintf("%s-%d", pool, i)] = pool
@@ -101,15 +103,15 @@
 		Maintain: func(_ context.Context, machine string, wave int64, holder string, fence int64) (directory.Ordered, error) {
 			plt.mu.Lock()
 			pool, key := plt.pools[machine], fmt.Sprint(wave, "/", machine)
-			isDone := plt.maintained[key]
+			isDone, answer := plt.maintained[key], plt.answer
 			plt.maintained[key] = true
 			plt.mu.Unlock()
 			out := directory.OrderDone
 			if !isDone {
 				out, _ = plt.take(machine, pool, holder, fence)
 			}
-			if plt.answer != nil {
-				out = plt.answer(machine)
+			if answer != nil {
+				out = answer(machine)
 			}
 			return out, nil
 		},
@@ -131,23 +133,24 @@
 	pol := balance.Pool{Name: pool, Wanted: wanted}
 	for name, at := range plt.pools {
 		if at == pool && !time.Now().Before(plt.backAt[name]) {
-			pol.VMs = append(pol.VMs, balance.VM{ID: plt.vm(name), MilliCores: 16000, IsUsable: true, Tasks: tasksOf(plt.busy[name])})
+			pol.VMs = append(pol.VMs, balance.VM{ID: plt.vm(name), MilliCores: 16000, IsUsable: true, IsLeaving: plt.leaving[plt.vm(name)], Tasks: tasksOf(plt.busy[name])})
 		}
 	}
 	return pol
 }
 
-// tell reports both pools, with the VMs that the steward wants emptied as empty.
+// tell reports both pools, with the VMs that the steward wants emptied as empty, as it
+// said before and says now.
 func (plt *platform) tell(stw *steward.Steward, gateWants int64) {
 	now := time.Now()
 	for _, pol := range []balance.Pool{plt.report("gate", gateWants), plt.report("haul", 0)} {
 		leaving, _ := stw.Report(now, pol)
-		for i := range pol.VMs {
-			for _, vm := range leaving {
-				pol.VMs[i].IsLeaving = pol.VMs[i].IsLeaving || vm == pol.VMs[i].ID
-			}
+		plt.mu.Lock()
+		for _, vm := range pol.VMs {
+			plt.leaving[vm.ID] = slices.Contains(leaving, vm.ID)
 		}
-		stw.Report(now, pol)
+		plt.mu.Unlock()
+		stw.Report(now, plt.report(pol.Name, pol.Wanted))
 	}
 }
 
@@ -269,7 +272,7 @@
 			first := open(t, store, plt, "first")
 			first.Request(time.Now(), wav)
 			plt.run(first, 0, 500*time.Millisecond)
-			plt.busy = nil // more become empty, so their orders store what was done before
+			plt.setBusy(nil) // more become empty, so their orders store what was done before
 			plt.run(first, 0, led)
 			first.Close()
 			second := open(t, store, plt, "second")
@@ -317,7 +320,9 @@
 		first.Request(time.Now(), wav)
 		plt.run(first, 0, time.Second)
 		first.Close()
+		plt.mu.Lock()
 		plt.answer = nil
+		plt.mu.Unlock()
 		time.Sleep(3 * time.Second)
 		second := open(t, store, plt, "second")
 		second.Request(time.Now(), wav)
@@ -400,6 +405,13 @@
 	})
 }
 
+// setBusy says which machines have a task that does not end.
+func (plt *platform) setBusy(busy map[string]bool) {
+	plt.mu.Lock()
+	defer plt.mu.Unlock()
+	plt.busy = busy
+}
+
 // restart gives a machine that is up another life.
 func (plt *platform) restart(machine string) {
 	plt.mu.Lock()
@@ -450,7 +462,7 @@
 			t.Errorf("VMs to be emptied: %v, want that of the wave", leaving)
 		}
 		stw.Request(time.Now(), upkeep.Wave{Number: 2, Machines: []string{"gate-0", "gate-1"}, Cap: 1, Within: time.Minute})
-		plt.busy = nil
+		plt.setBusy(nil)
 		plt.run(stw, 0, 20*time.Second)
 		stw.Close()
 		if len(plt.orders) != 3 {
