--- a/internal/schedule/steward/errand.go
+++ b/internal/schedule/steward/errand.go
@@ -104,7 +104,7 @@
 	return ready
 }
 
-// emptied returns the VMs that their owners have emptied, by late reports.
+// emptied returns the VMs that their owners have emptied, by reports of late.
 func (stw *Steward) emptied(now time.Time) map[string]bool {
 	empty := map[string]bool{}
 	for _, rpt := range stw.reports {
