--- a/internal/peer/link/link.go
+++ b/internal/peer/link/link.go
@@ -150,7 +150,7 @@
 	if err != nil {
 		return err
 	}
-	err = rpc.Call(ctx, method, params, out)
+	err = callWithin(ctx, rpc, method, params, out)
 	var answer *jsonrpc2.Error
 	if errors.As(err, &answer) {
 		return faultOf(answer)
@@ -162,6 +162,23 @@
 	return nil
 }
 
+// callWithin ends when ctx does, even while the write of this call, or of one before
+// it, is blocked because the peer does not read.
+func callWithin(ctx context.Context, rpc *jsonrpc2.Conn, method string, params, out any) error {
+	var raw json.RawMessage
+	ended := make(chan error, 1)
+	go func() { ended <- rpc.Call(ctx, method, params, &raw) }()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case err := <-ended:
+		if err != nil || out == nil || len(raw) == 0 {
+			return err
+		}
+		return errors.Wrapf(json.Unmarshal(raw, out), "answer to %s", method)
+	}
+}
+
 // Ask is Call for a question that may be asked twice: when a connection turns out to
 // be broken, it asks again over a new one.
 func (lnk *Link) Ask(ctx context.Context, address, method string, params, out any) error {
--- a/internal/peer/link/link_test.go
+++ b/internal/peer/link/link_test.go
@@ -76,3 +76,32 @@
 		t.Errorf("%v after %s, want the peer's refusal and 3 s", err, fault.WaitOf(err))
 	}
 }
+
+// A peer behind a cut does not read, so writes to it block, and with them all that
+// come after. Each call must end when its time is over.
+func TestCallToAPeerThatDoesNotReadEndsInTime(t *testing.T) {
+	asker := link.New(link.Config{Dial: func(context.Context, string, string) (net.Conn, error) {
+		near, _ := net.Pipe() // its writes block until somebody reads
+		return near, nil
+	}})
+	call := func(params string) <-chan error {
+		ended := make(chan error, 1)
+		go func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer cancel()
+			var out string
+			ended <- asker.Call(ctx, "peer", "echo", params, &out)
+		}()
+		return ended
+	}
+	for _, ended := range []<-chan error{call("one"), call("two"), call("three")} {
+		select {
+		case err := <-ended:
+			if fault.CodeOf(err) != code.PlatformError {
+				t.Errorf("%v, want an error that leaves the outcome open", err)
+			}
+		case <-time.After(30 * time.Second):
+			t.Fatal("a call goes on long after its time")
+		}
+	}
+}
