Let a steward look whether it was replaced

The first steward, on midstate-b-4, loses the store at 16.8 s and is replaced at 17.4 s. Nobody reports to it any more, so it stores nothing and is never fenced. At 34.53 s the new steward's zone is cut off and the seat falls to midstate-b-4 again, which takes itself for the steward and claims nothing; pools owned there report to it. No VM is moved until 39.5 s, and a pool of 3 VMs meets its turn with them.

Test: the replaced steward does not know after 2 s before, and does after. One read a second more.

--- a/internal/schedule/steward/steward.go
+++ b/internal/schedule/steward/steward.go
@@ -38,6 +38,10 @@
 	listEach = 400 * time.Millisecond
 	// callTimeout bounds a call to the directory or the log.
 	callTimeout = time.Second
+	// confirmEach is the pause between looks at the claims. A steward to which nobody
+	// reports any more has nothing to store, and learns in no other way that it was
+	// replaced.
+	confirmEach = time.Second
 	// orderWithin is the longest time between the proof that this is still the
 	// term and the order that rests on it.
 	orderWithin = time.Second
@@ -101,6 +105,7 @@
 	// unrecorded is maintenance that is done and not stored as done.
 	unrecorded []*errand
 	loop       *part.Part
+	watch      *part.Part
 	lost       chan struct{}
 	lostOnce   sync.Once
 }
@@ -130,6 +135,7 @@
 	}
 	cfg.Journal.Event(now, "stewardStarted", slog.Int64("fence", clm.Fence()), slog.Int("term", clm.Term()))
 	stw.loop = part.Every("steward", round, stw.step)
+	stw.watch = part.Every("stewardClaim", confirmEach, stw.confirm)
 	return stw, nil
 }
 
@@ -138,7 +144,7 @@
 
 // Close ends the term.
 func (stw *Steward) Close() {
-	stw.loop.Stop()
+	part.StopAll(stw.loop, stw.watch)
 	stw.cfg.Journal.Event(time.Now(), "stewardStopped", slog.Int64("fence", stw.clm.Fence()))
 }
 
@@ -153,11 +159,27 @@
 	}
 	_, err := stw.cfg.Archive.Append(ctx, app)
 	if errors.Is(err, archive.ErrFenced) {
-		stw.lostOnce.Do(func() { close(stw.lost) })
+		stw.setLost(time.Now(), "a later steward has fenced this one")
 	}
 	return err
 }
 
+// confirm looks whether another entry has claimed the fleet.
+func (stw *Steward) confirm(now time.Time) {
+	holds, err := claim.Holds(context.Background(), stw.cfg.Archive, Name, stw.clm.Fence())
+	if err == nil && !holds {
+		stw.setLost(now, "a later steward has claimed the fleet")
+	}
+	// Without the store the membership is not confirmed either, which is logged.
+}
+
+func (stw *Steward) setLost(now time.Time, reason string) {
+	stw.lostOnce.Do(func() {
+		stw.cfg.Journal.Event(now, "stewardLost", slog.Int64("fence", stw.clm.Fence()), slog.String("reason", reason))
+		close(stw.lost)
+	})
+}
+
 // Report takes in how a pool stands. It returns the VMs that the pool should
 // empty, and those whose life has ended.
 func (stw *Steward) Report(now time.Time, pol balance.Pool) (leaving, ended []string) {
--- a/internal/schedule/steward/steward_test.go
+++ b/internal/schedule/steward/steward_test.go
@@ -378,6 +378,31 @@
 	})
 }
 
+// Drawn day 64e3 of osoc: a steward that was cut off is replaced, and nobody reports to
+// it any more, so it has nothing to store and never hears that it was. When the seat
+// falls to its entry again, the fleet has no steward.
+func TestReplacedStewardWithoutOrdersFindsOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newPlatform("gate", "haul")
+		first := open(t, store, plt, "first")
+		time.Sleep(2 * time.Second)
+		select {
+		case <-first.Lost():
+			t.Fatal("lost without a successor")
+		default:
+		}
+		second := open(t, store, plt, "second")
+		time.Sleep(2 * time.Second)
+		select {
+		case <-first.Lost():
+		default:
+			t.Error("the first steward does not know that it was replaced 2 s ago")
+		}
+		first.Close()
+		second.Close()
+	})
+}
+
 // VMs that are empty and only wait for the store keep waiting, so that they move as
 // soon as it is back.
 func TestEmptyVMsWaitForTheStore(t *testing.T) {
