Count a VM that has not reported to a new owner as in use

Cause: a new owner reports a VM that it has been told to evacuate with no tasks until the VM has reported to it. Ruled out: two stops by one owner, as tasks that wait count as unavailable. Before: TestVMThatHasNotReportedCountsAsInUse fails. After: passes.

--- a/internal/schedule/poolscheduler/evacuating_test.go
+++ b/internal/schedule/poolscheduler/evacuating_test.go
@@ -133,3 +133,23 @@
 		t.Errorf("polls wait %s for a starting task and %s for one at work", starting, atWork)
 	}
 }
+
+// A new owner does not know yet what runs on a VM that has not reported to it, for example
+// because it is overloaded. It must not report the VM as free of tasks, or the VM is taken
+// down for maintenance while tasks of an earlier owner are at work there.
+func TestVMThatHasNotReportedCountsAsInUse(t *testing.T) {
+	sch, _ := newScheduler(false)
+	sch.RestoreVM(start, vm("a", 1))
+	sch.RestoreVM(start, vm("b", 1))
+	sch.SetListedVMs(start, []host.Host{vm("a", 1), vm("b", 1)})
+	sch.HandleReport(start, start, "b", agent.Report{Incarnation: 1})
+	sch.SetEvacuating(start, map[string]bool{"a": true, "b": true})
+	vms := sch.BalanceInput(start).VMs
+	if len(vms) != 2 || vms[0].Tasks == 0 || vms[1].Tasks != 0 {
+		t.Errorf("VMs %+v, want a in use until it reports and b free", vms)
+	}
+	sch.HandleReport(start, start, "a", agent.Report{Incarnation: 1})
+	if vms = sch.BalanceInput(start).VMs; vms[0].Tasks != 0 {
+		t.Errorf("VM %+v, want it free after its report", vms[0])
+	}
+}
--- a/internal/schedule/poolscheduler/pool.go
+++ b/internal/schedule/poolscheduler/pool.go
@@ -21,6 +21,9 @@
 		if vst.lastEndStored < vst.lastEndSeen {
 			vm.Tasks++ // run ends that are not stored yet would be lost with the VM
 		}
+		if vst.mayRunUnknownTasks(now) {
+			vm.Tasks++
+		}
 		for _, tst := range vst.tasks {
 			if tst.step.plan.IsLongRunning {
 				vm.LongRunning++
--- a/internal/schedule/poolscheduler/unplaceable_test.go
+++ b/internal/schedule/poolscheduler/unplaceable_test.go
@@ -15,7 +15,9 @@
 	sch, _ := newScheduler(true)
 	addVMs(start, sch, vm("a", 1))
 	submit := func(num int, need plan.Demand) {
-		sch.Accept(start, jobrecord.Job{Queue: "q", FirstAttempt: start, Plan: &plan.Plan{
+		// Each job is submitted a little later than the one before, so the order is fixed.
+		at := start.Add(time.Duration(num) * time.Millisecond)
+		sch.Accept(at, jobrecord.Job{Queue: "q", FirstAttempt: at, Plan: &plan.Plan{
 			ID:    fmt.Sprintf("%016x", num),
 			Steps: []plan.Step{{Count: 1, Demand: need, Estimate: time.Second}},
 		}})
@@ -26,7 +28,7 @@
 	submit(20, plan.Demand{MilliCores: 900, MemoryMB: 3000})
 	submit(21, plan.Demand{MilliCores: 3500, MemoryMB: 10})
 	submit(22, plan.Demand{MilliCores: 100, MemoryMB: 900})
-	got := starts(sch.Plan(start))
+	got := starts(sch.Plan(start.Add(100 * time.Millisecond)))
 	if len(got) != 3 {
 		t.Fatalf("%d starts, want one large job and the two that fit beside it", len(got))
 	}
--- a/internal/schedule/poolscheduler/zone.go
+++ b/internal/schedule/poolscheduler/zone.go
@@ -95,7 +95,7 @@
 	}
 	clear(sch.unreconciledZones)
 	for _, vst := range sch.sortedVMs() {
-		if vst.isUnreconciled && now.Before(vst.leaseEnd) {
+		if vst.mayRunUnknownTasks(now) {
 			sch.unreconciledZones[vst.host.Zone] = true
 		}
 	}
@@ -105,6 +105,12 @@
 	}
 }
 
+// mayRunUnknownTasks reports whether tasks of an earlier owner may run on the VM that this
+// owner does not know of: the VM has not reported and their leases may not have expired.
+func (vst *vmState) mayRunUnknownTasks(now time.Time) bool {
+	return vst.isUnreconciled && now.Before(vst.leaseEnd)
+}
+
 // isReconciled reports whether it is known where all tasks of the job run.
 func (sch *Scheduler) isReconciled(jst *jobState) bool {
 	if !jst.isInherited || sch.allReconciled {
