Report and order as soon as a burst or an evacuated VM calls for it

Cause: an idle VM that is to move waits 0.43 s (median) for its order: the decision waits for the next round, reaches the owner with the reply to its next report and comes back with the one after that. In that time a burst of short jobs waits. Change: an owner reports at once when a second of work for a VM has arrived or a VM is evacuated, and such a report makes a round due. Orders share one token bucket.

--- a/internal/kernel/loop/loop.go
+++ b/internal/kernel/loop/loop.go
@@ -43,6 +43,32 @@
 	})
 }
 
+// EveryOrWoken runs step at once, each interval and soon after each wake-up, but two runs
+// are at least minPause apart.
+func EveryOrWoken(name string, interval, minPause time.Duration, wake <-chan struct{}, step func(now time.Time)) *Loop {
+	return Start(name, func(quit <-chan struct{}) {
+		tick := time.NewTicker(interval)
+		defer tick.Stop()
+		pause := time.NewTimer(0)
+		defer pause.Stop()
+		for {
+			step(time.Now())
+			pause.Reset(minPause)
+			select {
+			case <-quit:
+				return
+			case <-pause.C:
+			}
+			select {
+			case <-quit:
+				return
+			case <-tick.C:
+			case <-wake:
+			}
+		}
+	})
+}
+
 // Name returns the name of the loop.
 func (lop *Loop) Name() string { return lop.name }
 
--- a/internal/schedule/fleetcontroller/fleetcontroller.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller.go
@@ -31,6 +31,8 @@
 	// roundInterval is the time between rounds of decisions: a tenth of the time for
 	// which a burst of demand stays with one queue at the users' sites.
 	roundInterval = 200 * time.Millisecond
+	// minRoundPause is the shortest pause between rounds that a report makes due early.
+	minRoundPause = 20 * time.Millisecond
 	// maxReportAge is the age above which a pool's report is not used to plan moves or to
 	// decide that a VM is evacuated.
 	maxReportAge = 1500 * time.Millisecond
@@ -106,11 +108,13 @@
 	operations    map[string]*operation // by machine
 	waves         map[int64]*wave
 	// unrecorded is maintenance that is done but not yet stored as done.
-	unrecorded []*operation
-	loop       *loop.Loop
-	claimCheck *loop.Loop
-	lost       chan struct{}
-	lostOnce   sync.Once
+	unrecorded     []*operation
+	roundRequested chan struct{}
+	orderLimit     orderLimit
+	loop           *loop.Loop
+	claimCheck     *loop.Loop
+	lost           chan struct{}
+	lostOnce       sync.Once
 }
 
 type report struct {
@@ -129,6 +133,7 @@
 		cfg: cfg, clm: clm, takeoverAt: now, reports: map[string]report{}, arrivals: arrivals.New(), machines: map[string]directory.Machine{},
 		operations: map[string]*operation{}, waves: map[int64]*wave{}, lost: make(chan struct{}),
 		recentOrders: map[string]time.Time{}, blockedUntil: map[string]time.Time{},
+		roundRequested: make(chan struct{}, 1),
 	}
 	if err := ctl.appendRecords(ctx, nil); err != nil {
 		return nil, err
@@ -138,7 +143,7 @@
 		return nil, err
 	}
 	cfg.Journal.Event(now, "stewardStarted", slog.Int64("fence", clm.FencingToken()), slog.Int("term", clm.Term()))
-	ctl.loop = loop.Every("steward", roundInterval, ctl.step)
+	ctl.loop = loop.EveryOrWoken("steward", roundInterval, minRoundPause, ctl.roundRequested, ctl.step)
 	ctl.claimCheck = loop.Every("stewardClaim", claimCheckInterval, ctl.checkClaim)
 	return ctl, nil
 }
@@ -189,6 +194,9 @@
 func (ctl *Controller) HandleReport(now time.Time, pol balance.Pool) (evacuating, ended []string) {
 	ctl.mu.Lock()
 	defer ctl.mu.Unlock()
+	if ctl.isUrgent(pol) {
+		ctl.requestRound()
+	}
 	ctl.reports[pol.Name] = report{pool: pol, at: now}
 	ctl.arrivals.Observe(now, pol.Name, pol.Arrived)
 	inOperation := make(map[string]bool, len(ctl.operations))
@@ -207,6 +215,34 @@
 	return evacuating, ended
 }
 
+// isUrgent reports whether the report calls for a round at once: the pool needs at least
+// a VM more than in its last report, or a VM that is to be ordered away is evacuated.
+func (ctl *Controller) isUrgent(pol balance.Pool) bool {
+	if len(pol.VMs) > 0 && pol.Demand-ctl.reports[pol.Name].pool.Demand >= pol.VMs[0].MilliCores {
+		return true
+	}
+	awaited := map[string]bool{}
+	for _, opr := range ctl.operations {
+		if !opr.isOrdered && !opr.isInFlight {
+			awaited[opr.vm] = true
+		}
+	}
+	for _, vm := range pol.VMs {
+		if awaited[vm.ID] && vm.IsEvacuating && vm.Tasks == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// requestRound makes the next round of decisions due at once.
+func (ctl *Controller) requestRound() {
+	select {
+	case ctl.roundRequested <- struct{}{}:
+	default:
+	}
+}
+
 // RequestWave adds a maintenance wave that the operator requests. A wave that is already known
 // is ignored.
 func (ctl *Controller) RequestWave(now time.Time, wav maintenance.Wave) {
--- a/internal/schedule/fleetcontroller/operation.go
+++ b/internal/schedule/fleetcontroller/operation.go
@@ -100,7 +100,7 @@
 	slices.SortFunc(ready, func(one, two *operation) int {
 		return cmp.Or(one.startedAt.Compare(two.startedAt), cmp.Compare(one.machine, two.machine))
 	})
-	ready = ready[:min(len(ready), ctl.ordersPerRound())]
+	ready = ready[:ctl.orderLimit.take(now, orderShare*ctl.cfg.OrderRate, len(ready))]
 	for _, opr := range ready {
 		opr.isInFlight, opr.evacuatedVM = true, opr.vm
 	}
@@ -122,7 +122,7 @@
 	return evacuated
 }
 
-// ordersPerRound returns how many orders may be sent in one round.
+// ordersPerRound returns how many orders may be sent in a regular round.
 func (ctl *Controller) ordersPerRound() int {
 	return max(1, int(orderShare*ctl.cfg.OrderRate*roundInterval.Seconds()))
 }
--- a/internal/schedule/owner/loops.go
+++ b/internal/schedule/owner/loops.go
@@ -54,7 +54,11 @@
 		if own.sch.HasUrgentChanges() {
 			own.requestFlush()
 		}
+		isReportDue := own.sch.IsReportDue(now)
 		own.mu.Unlock()
+		if isReportDue {
+			own.cfg.RequestReport()
+		}
 		wait = max(planDelay, planIdleFactor*time.Since(now))
 		for _, ord := range orders {
 			go own.sendOrder(ord)
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -56,6 +56,8 @@
 	Journal         *journal.Journal
 	Metrics         *metrics.Set
 	Table           *queue.Table
+	// RequestReport asks for a report on the pool before its regular time.
+	RequestReport func()
 }
 
 // Owner is the owner of a pool for one term. It is safe for concurrent use.
--- a/internal/schedule/owner/owner_test.go
+++ b/internal/schedule/owner/owner_test.go
@@ -76,7 +76,8 @@
 func (fxt *fixture) openWith(log statelog.Client, agt agent.Client) *owner.Owner {
 	fxt.t.Helper()
 	own, err := owner.Open(fxt.t.Context(), time.Now(), owner.Config{
-		Pool: pool, Address: "peer", MaxLease: maxLease, StatusRetention: time.Minute, StateLog: log,
+		RequestReport: func() {},
+		Pool:          pool, Address: "peer", MaxLease: maxLease, StatusRetention: time.Minute, StateLog: log,
 		Agent: agt, Journal: journal.New(journal.Config{}), Metrics: metrics.NewSet(), Table: fxt.table,
 	})
 	if err != nil {
--- a/internal/schedule/poolscheduler/pool.go
+++ b/internal/schedule/poolscheduler/pool.go
@@ -12,18 +12,13 @@
 // BalanceInput returns the VMs and the demand of the pool for package balance.
 func (sch *Scheduler) BalanceInput(now time.Time) balance.Pool {
 	pol := balance.Pool{Name: sch.cfg.Name, Arrived: sch.arrived}
+	sch.reported = sch.reportTrigger(now)
 	for _, vst := range sch.sortedVMs() {
 		vm := balance.VM{
-			ID: vst.host.ID, MilliCores: vst.host.Capacity.MilliCores, Tasks: len(vst.tasks) + len(vst.unwantedRuns),
+			ID: vst.host.ID, MilliCores: vst.host.Capacity.MilliCores, Tasks: vst.occupancy(now),
 			Since: vst.firstReportAt, IsEvacuating: vst.isEvacuating, IsUnresponsive: vst.isUnresponsive,
 			IsUsable: vst.hasReported && vst.isPresent(now) && !vst.host.IsDraining && now.Sub(vst.lastReportAt) <= reportStaleAfter,
 		}
-		if vst.lastEndStored < vst.lastEndSeen {
-			vm.Tasks++ // run ends that are not stored yet would be lost with the VM
-		}
-		if vst.mayRunUnknownTasks(now) {
-			vm.Tasks++
-		}
 		for _, tst := range vst.tasks {
 			if tst.step.plan.IsLongRunning {
 				vm.LongRunning++
@@ -44,6 +39,46 @@
 	return pol
 }
 
+// occupancy returns the number of tasks for which the VM is needed. Run ends that are not
+// stored yet and tasks of an earlier owner that may run count too, as they would be lost
+// with the VM.
+func (vst *vmState) occupancy(now time.Time) int {
+	count := len(vst.tasks) + len(vst.unwantedRuns)
+	if vst.lastEndStored < vst.lastEndSeen {
+		count++
+	}
+	if vst.mayRunUnknownTasks(now) {
+		count++
+	}
+	return count
+}
+
+// reportTrigger is what makes a report on the pool due before its regular time.
+type reportTrigger struct {
+	work         int64 // that has arrived in this term, in thousandths of a core times seconds
+	evacuatedVMs int
+}
+
+func (sch *Scheduler) reportTrigger(now time.Time) reportTrigger {
+	trg := reportTrigger{work: sch.arrived.Work}
+	for _, vst := range sch.sortedVMs() {
+		if vst.isEvacuating && vst.occupancy(now) == 0 {
+			trg.evacuatedVMs++
+		}
+	}
+	return trg
+}
+
+// IsReportDue reports whether the fleet controller should learn of a change at once: a
+// second of work for a VM has arrived, as at the start of a burst, or a VM that is to be
+// evacuated has become free.
+func (sch *Scheduler) IsReportDue(now time.Time) bool {
+	trg := sch.reportTrigger(now)
+	vms := sch.sortedVMs()
+	return trg.evacuatedVMs > sch.reported.evacuatedVMs ||
+		len(vms) > 0 && trg.work-sch.reported.work >= vms[0].host.Capacity.MilliCores
+}
+
 func (sch *Scheduler) addDemand(now time.Time, pol *balance.Pool, sst *stepState, tasks int) {
 	need := int64(tasks) * countedDemand(sst.plan).MilliCores
 	if rank.BandOf(now, sch.rankCandidate(sst)) < rank.Late {
--- a/internal/schedule/poolscheduler/poolscheduler.go
+++ b/internal/schedule/poolscheduler/poolscheduler.go
@@ -83,6 +83,7 @@
 	confirmedAt   time.Time
 	scratch       [2 * plan.MaxSteps]time.Duration // of expectedTimes
 	arrived       arrivals.Sum                     // work that arrived in this term
+	reported      reportTrigger                    // as of the last report on the pool
 	endedJobs     []string                         // ids of ended jobs, oldest first
 	allReconciled bool                             // no unknown task of an earlier owner can still run
 	isUrgent      bool                             // callers or tasks wait for a change to be stored
--- a/internal/schedule/service/fleet.go
+++ b/internal/schedule/service/fleet.go
@@ -21,6 +21,8 @@
 	// reportInterval is the pause between reports to the fleet controller, the interval
 	// of its decisions.
 	reportInterval = 200 * time.Millisecond
+	// minReportPause is the shortest pause between reports that are sent early.
+	minReportPause = 20 * time.Millisecond
 	reportTimeout  = 500 * time.Millisecond
 	// evacuationTTL is how long VMs stay closed to new work while the fleet controller
 	// that requested it does not answer: longer than it takes to replace it.
@@ -93,6 +95,14 @@
 	}
 }
 
+// requestReport makes the next report due at once.
+func (svc *Service) requestReport() {
+	select {
+	case svc.reportRequested <- struct{}{}:
+	default:
+	}
+}
+
 func (svc *Service) applyReportReply(now time.Time, pool string, rpl reportReplyJSON, err error) {
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -109,6 +109,7 @@
 	waves             map[int64]maintenance.Wave
 	evacuations       map[string]evacuation // by pool
 	controllerAddress string                // "" while unknown
+	reportRequested   chan struct{}
 	loops             []*loop.Loop
 	stopping          atomic.Bool
 }
@@ -118,7 +119,7 @@
 	svc := &Service{
 		cfg: cfg, link: rpc.New(rpc.Config{}), started: now, hosts: map[string]host.Host{},
 		owners: map[string]*owner.Owner{}, opening: map[string]bool{}, failedAt: map[string]time.Time{}, confirmedAt: now,
-		waves: map[int64]maintenance.Wave{}, evacuations: map[string]evacuation{},
+		waves: map[int64]maintenance.Wave{}, evacuations: map[string]evacuation{}, reportRequested: make(chan struct{}, 1),
 	}
 	svc.link.Handle(methodReport, svc.serveReport)
 	svc.link.Handle(methodOwnership, svc.serveOwnership)
@@ -140,7 +141,7 @@
 		loop.Start("group", mbr.Run),
 		loop.Start("hosts", svc.followVMList),
 		loop.Every("reconcile", reconcileInterval, svc.reconcile),
-		loop.Every("report", reportInterval, svc.report),
+		loop.EveryOrWoken("report", reportInterval, minReportPause, svc.reportRequested, svc.report),
 	}
 	return svc, nil
 }
@@ -437,7 +438,7 @@
 	own, err := owner.Open(ctx, time.Now(), owner.Config{
 		Pool: pool, Partition: group.PartitionOf(pool, svc.cfg.Partitions), Address: svc.cfg.PeerAddress, MaxLease: min(svc.cfg.MaxLease, leaseDuration),
 		StatusRetention: svc.cfg.StatusRetention, StateLog: svc.cfg.StateLog, Agent: svc.cfg.Agent, Journal: svc.cfg.Journal,
-		Metrics: svc.cfg.Metrics, Table: tab,
+		Metrics: svc.cfg.Metrics, Table: tab, RequestReport: svc.requestReport,
 	})
 	now := time.Now()
 	svc.mu.Lock()
