Forecast a burst that begins from the last one, and let idle VMs follow it

Hypothesis: a burst is seen too small as it begins, as its growth says little in the first half second, and idle VMs stay with the pool whose burst has ended while its forecast holds.

--- a/internal/fleet/arrivals/arrivals_test.go
+++ b/internal/fleet/arrivals/arrivals_test.go
@@ -130,3 +130,52 @@
 		}
 	}
 }
+
+// Bursts go from queue to queue and ask for as much each time. The second one is forecast
+// from the first as soon as it shows, not only when it has grown.
+func TestBurstThatBeginsIsForecastFromTheLastOne(t *testing.T) {
+	arr, now := arrivals.New(), time.Unix(1000, 0)
+	sums := map[string]arrivals.Sum{}
+	advance := func(pool string, steps int, jobs int64) {
+		for range steps {
+			now = now.Add(step)
+			for _, name := range []string{"gate", "haul"} {
+				sum := sums[name]
+				if name == pool {
+					sum.Jobs, sum.Work = sum.Jobs+jobs, sum.Work+jobs*9000
+				}
+				sums[name] = sum
+				arr.Observe(now, name, sum)
+			}
+		}
+	}
+	advance("", 11, 0)
+	advance("gate", 20, 10)
+	advance("", 20, 0)
+	advance("haul", 1, 2)
+	if got := arr.Forecast("haul"); got > 100000 {
+		t.Errorf("forecast %d after two jobs, want no burst", got)
+	}
+	advance("haul", 1, 4)
+	if got := arr.Forecast("haul"); got < 400000 {
+		t.Errorf("forecast %d as the burst begins, want the 450000 of the last one", got)
+	}
+}
+
+// Reports come early when a burst begins. A rate must not depend on how often the pool's
+// owner reports.
+func TestRateDoesNotDependOnTheIntervalOfReports(t *testing.T) {
+	for _, interval := range []time.Duration{50 * time.Millisecond, 180 * time.Millisecond, 390 * time.Millisecond} {
+		arr, now, sum := arrivals.New(), time.Unix(1000, 0), arrivals.Sum{}
+		arr.Observe(now, "gate", sum)
+		for range 100 {
+			now = now.Add(interval)
+			sum.Work += interval.Milliseconds() * 100
+			sum.Jobs += interval.Milliseconds() / 10
+			arr.Observe(now, "gate", sum)
+		}
+		if got := arr.Rate("gate"); got < 95000 || got > 105000 {
+			t.Errorf("rate %d with a report each %s, want 100000", got, interval)
+		}
+	}
+}
--- a/internal/fleet/balance/balance.go
+++ b/internal/fleet/balance/balance.go
@@ -137,10 +137,13 @@
 	var best *poolState
 	bestIndex := -1
 	for _, pst := range states {
-		if pst == recipient || isIdleOnly && (pst.pool.IsStandby || pst.totalDeficit() > 0 || pst.forecastDeficit() > 0) {
+		if pst == recipient {
 			continue
 		}
 		index := pst.releasableVM(now, isIdleOnly)
+		if index >= 0 && isIdleOnly && !pst.givesIdle(recipient, pst.pool.VMs[index].MilliCores) {
+			continue
+		}
 		if index >= 0 && (best == nil || pst.givesBefore(best)) {
 			best, bestIndex = pst, index
 		}
@@ -157,6 +160,18 @@
 	return Transfer{VM: vm.ID, From: best.pool.Name, To: recipient.pool.Name}, true
 }
 
+// givesIdle reports whether the pool may give an idle VM of the size for work that is late or
+// has not arrived yet. A forecast holds for a while after a burst has ended, so a pool
+// whose forecast deficit is lower than the recipient's, also after the transfer, gives
+// to one whose burst begins.
+func (pst *poolState) givesIdle(recipient *poolState, milliCores int64) bool {
+	if pst.pool.IsStandby || pst.totalDeficit() > 0 {
+		return false
+	}
+	own := pst.forecastDeficit()
+	return own <= 0 || own+milliCores < recipient.forecastDeficit()-milliCores
+}
+
 // givesBefore reports whether the pool should give a VM before the other one: the standby
 // pool first, then the one with the most unused capacity.
 func (pst *poolState) givesBefore(other *poolState) bool {
--- a/internal/fleet/balance/balance_test.go
+++ b/internal/fleet/balance/balance_test.go
@@ -143,3 +143,19 @@
 		t.Errorf("%v with a maximum of 0", got)
 	}
 }
+
+// A burst goes from one queue to the next. The forecast of the first holds for seconds
+// after its end, in which its idle VMs must go to the second all the same.
+func TestIdleVMsFollowTheBurstDespiteAForecastThatHolds(t *testing.T) {
+	ended, begun := pool("gate", 20000, 20, 4), pool("haul", 60000, 0, 4)
+	ended.Forecast, begun.Forecast = 400000, 400000
+	got := balance.Decide(now, []balance.Pool{ended, begun}, maxTransfers)
+	if len(got) < 8 || got[0].To != "haul" {
+		t.Errorf("%d transfers %v, want half of the VMs at haul", len(got), got)
+	}
+	begun.Forecast = 60000
+	begun.Demand = 50000
+	if got = balance.Decide(now, []balance.Pool{ended, begun}, maxTransfers); len(got) > 0 {
+		t.Errorf("transfers %v to a pool that needs less than the forecast of the other", got)
+	}
+}
