Repeat a poll at once when its answer is lost

Steps declared as 0.4 s end 1.4 to 2.0 s after their start at seconds 2 to 4, and half of the jobs of these seconds are late. Change: the first attempt times out 0.12 s after its wait and is repeated at once, without a wait. A VM counts as unresponsive only when the repetition fails.

--- a/internal/schedule/owner/loops.go
+++ b/internal/schedule/owner/loops.go
@@ -31,9 +31,12 @@
 	// claimed the pool. Tasks of an unresponsive VM wait for the first check after
 	// their lease has expired, so the interval is a small fraction of the lease.
 	claimCheckInterval = time.Second
-	// pollTimeoutSlack is added to a poll's wait to get its timeout: 250 times the
-	// usual 2 ms of a call to a VM.
+	// pollTimeoutSlack is added to a poll's wait to get the timeout of its repetition:
+	// 250 times the usual 2 ms of a call to a VM.
 	pollTimeoutSlack = 500 * time.Millisecond
+	// firstPollSlack is the same for the first attempt. An answer may be lost while the VM
+	// is sound, and until the next one the owner does not know which tasks have ended.
+	firstPollSlack = 120 * time.Millisecond
 )
 
 // planLoop plans after changes and sends the resulting orders.
@@ -227,12 +230,21 @@
 	own.cfg.Journal.Warn(time.Now(), "vmUnanswered", slog.String("vm", tgt.VM), slog.String("error", err.Error()))
 }
 
-// poll polls a VM once and passes the report to the pool scheduler. It reports
+// callPoll sends a poll that times out the slack after the VM should have answered.
+func (own *Owner) callPoll(tgt agent.Target, req agent.Poll, slack time.Duration) (agent.Report, agent.Outcome, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), req.Wait+slack)
+	defer cancel()
+	return own.cfg.Agent.Poll(ctx, tgt, req)
+}
+
+// poll polls a VM, a second time if the answer is lost, and passes the report to the pool scheduler. It reports
 // whether runs have ended.
 func (own *Owner) poll(sent time.Time, tgt agent.Target, req agent.Poll) (ended bool, err error) {
-	ctx, cancel := context.WithTimeout(context.Background(), req.Wait+pollTimeoutSlack)
-	defer cancel()
-	rpt, out, err := own.cfg.Agent.Poll(ctx, tgt, req)
+	rpt, out, err := own.callPoll(tgt, req, firstPollSlack)
+	if out == agent.Unknown && !own.isEnding() {
+		sent, req.Wait = time.Now(), 0
+		rpt, out, err = own.callPoll(tgt, req, pollTimeoutSlack)
+	}
 	now := time.Now()
 	switch out {
 	case agent.Fenced:
--- a/internal/schedule/owner/owner_test.go
+++ b/internal/schedule/owner/owner_test.go
@@ -376,3 +376,35 @@
 		}
 	})
 }
+
+// VMs lose one answer in 25 for seconds while bursts of short jobs run. A lost answer to a
+// poll must not hide the ends of tasks for much longer than the wait of the poll, or the
+// later steps of their jobs start late.
+func TestLostAnswerToPollDelaysLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fxt := newFixture(t, 1, logstore.Config{})
+		agt, lost, isNextLost := fxt.fleet.Agent(), 0, false
+		poll := agt.Poll
+		agt.Poll = func(ctx context.Context, tgt agent.Target, req agent.Poll) (agent.Report, agent.Outcome, error) {
+			if isNextLost && lost == 0 {
+				lost++
+				<-ctx.Done()
+				return agent.Report{}, agent.Unknown, ctx.Err()
+			}
+			rpt, out, err := poll(ctx, tgt, req)
+			isNextLost = len(rpt.Ended) > 0
+			return rpt, out, err
+		}
+		own := fxt.openWith(fxt.store.Client(), agt)
+		time.Sleep(time.Second)
+		begun := time.Now()
+		if err := fxt.submit(own, job(1, 1)); err != nil {
+			t.Fatal(err)
+		}
+		fxt.await(own, job(1, 1).ID, 10*time.Second)
+		if took := time.Since(begun); lost != 1 || took > 2*runTime+400*time.Millisecond {
+			t.Errorf("two steps of %s took %s with %d answers lost, want 1 lost", runTime, took, lost)
+		}
+		fxt.checkInvariants()
+	})
+}
