--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -29,6 +29,9 @@
 	// expires after 2 s, but most changes of owner are handovers that take less than
 	// half of that.
 	findOwnerTimeout = 900 * time.Millisecond
+	// cutOffTimeout bounds a connection or a read of the log by an entry whose membership
+	// is not confirmed: 50 times the usual 4 ms.
+	cutOffTimeout = 200 * time.Millisecond
 	// retryDelay is the delay before the owner is looked up again.
 	retryDelay = 60 * time.Millisecond
 	// minLookupInterval limits how often a pool's owner is looked up: a hundred
@@ -56,6 +59,9 @@
 	Journal      *journal.Journal
 	// LocalOwner returns the pool's owner if it runs in this process, or nil.
 	LocalOwner func(pool string) *owner.Owner
+	// IsConfirmed reports whether this entry's membership is confirmed. If not, it may be
+	// cut off from the log and from other entries.
+	IsConfirmed func() bool
 }
 
 // Gateway routes requests to the owners of pools. It is safe for concurrent use.
@@ -117,6 +123,11 @@
 		return rep.State, true, nil
 	}
 	part := group.PartitionOf(que.Pool, gtw.cfg.Partitions)
+	if !gtw.cfg.IsConfirmed() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, cutOffTimeout)
+		defer cancel()
+	}
 	ste, found, lookupErr := owner.StoredState(ctx, gtw.cfg.StateLog, que.Pool, part, id)
 	if lookupErr != nil {
 		return 0, false, fault.Wrap(lookupErr, code.LogUnavailable, "state of job %s", id)
@@ -170,7 +181,8 @@
 			unknownErr = err
 		}
 		isTimedOut := !isFirst && time.Since(started) > findOwnerTimeout && unknownErr == nil
-		if isTimedOut || ctx.Err() != nil {
+		isCutOff := isNotOwner(err) && !gtw.cfg.IsConfirmed() // without the log no other owner can be found
+		if isTimedOut || isCutOff || ctx.Err() != nil {
 			if unknownErr != nil {
 				err = unknownErr
 			}
@@ -205,7 +217,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := gtw.cfg.PeerEndpoint.Connect(callCtx, address); err != nil {
+	if err := gtw.connect(callCtx, address); err != nil {
 		return reply{}, fault.Wrap(err, code.NotReady, "owner of the pool %s", req.Pool)
 	}
 	var rep reply
@@ -217,6 +229,17 @@
 	return rep, err
 }
 
+// connect connects to the owner. An entry that may be cut off gives up soon, as its callers
+// are better served by another one.
+func (gtw *Gateway) connect(ctx context.Context, address string) error {
+	if !gtw.cfg.IsConfirmed() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, cutOffTimeout)
+		defer cancel()
+	}
+	return gtw.cfg.PeerEndpoint.Connect(ctx, address)
+}
+
 // refreshOwner looks up the pool's owner, once for all requests that wait for it.
 func (gtw *Gateway) refreshOwner(ctx context.Context, pool string) {
 	now := time.Now()
--- /dev/null
+++ b/internal/schedule/gateway/gateway_test.go
@@ -0,0 +1,102 @@
+package gateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"daisywheel/internal/event/journal"
+	"daisywheel/internal/fleet/queue"
+	"daisywheel/internal/job/plan"
+	"daisywheel/internal/peer/rpc"
+	"daisywheel/internal/result/code"
+	"daisywheel/internal/result/fault"
+	"daisywheel/internal/schedule/claim"
+	"daisywheel/internal/schedule/gateway"
+	"daisywheel/internal/schedule/owner"
+	"daisywheel/internal/schedule/statelog"
+	"daisywheel/internal/standin/logstore"
+)
+
+// startPeer starts a peer that owns the pool "gate" according to the log and serves
+// submissions with the function.
+func startPeer(t *testing.T, log statelog.Client, submit func() (any, error)) *rpc.Endpoint {
+	t.Helper()
+	ept := rpc.New(rpc.Config{})
+	ept.Handle("job.submit", func(context.Context, json.RawMessage) (any, error) { return submit() })
+	lst, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := lst.Addr().String()
+	if err := errors.Join(lst.Close(), ept.Listen(address)); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(ept.Close)
+	if _, err := claim.Acquire(t.Context(), log, "gate", address); err != nil {
+		t.Fatal(err)
+	}
+	return ept
+}
+
+func newGateway(t *testing.T, log statelog.Client, isConfirmed func() bool) *gateway.Gateway {
+	t.Helper()
+	ept := rpc.New(rpc.Config{})
+	t.Cleanup(ept.Close)
+	return gateway.New(gateway.Config{
+		Address: "127.0.0.1:1", Partitions: 1, PeerEndpoint: ept, StateLog: log, Journal: journal.New(journal.Config{}),
+		LocalOwner: func(string) *owner.Owner { return nil }, IsConfirmed: isConfirmed,
+	})
+}
+
+func submit(t *testing.T, gtw *gateway.Gateway, id string) error {
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	return gtw.Submit(ctx, time.Now(), queue.Queue{Name: "q", Pool: "gate"}, &plan.Plan{ID: id, Steps: []plan.Step{{Count: 1}}})
+}
+
+// A zone is cut off while the owner stores a job: the first call has no answer, and the
+// next one finds no owner. The job may run, so it must not be reported as refused.
+func TestCutOffAfterLostAnswerLeavesOutcomeUnknown(t *testing.T) {
+	log := logstore.New(logstore.Config{}).Client()
+	var isCutOff atomic.Bool
+	var peer *rpc.Endpoint
+	peer = startPeer(t, log, func() (any, error) {
+		if !isCutOff.Swap(true) {
+			go peer.Close()
+			time.Sleep(50 * time.Millisecond)
+		}
+		return nil, fault.New(code.NotReady, "not the owner")
+	})
+	gtw := newGateway(t, log, func() bool { return !isCutOff.Load() })
+	if err := submit(t, gtw, "00000000000000a1"); fault.CodeOf(err) != code.OutcomeUnknown {
+		t.Errorf("error %v, want an unknown outcome", err)
+	}
+}
+
+// Callers of an entry that is cut off lose the time in which it searches for an owner that
+// it cannot find. It must refuse them without asking the log again.
+func TestCutOffEntryRefusesWithoutSearch(t *testing.T) {
+	log := logstore.New(logstore.Config{}).Client()
+	var isCutOff atomic.Bool
+	startPeer(t, log, func() (any, error) { return nil, fault.New(code.NotReady, "not the owner") })
+	lookups := atomic.Int64{}
+	lookup := log.Lookup
+	log.Lookup = func(ctx context.Context, topic string, part int, key string) (statelog.Record, bool, error) {
+		lookups.Add(1)
+		return lookup(ctx, topic, part, key)
+	}
+	gtw := newGateway(t, log, func() bool { return !isCutOff.Load() })
+	if err := submit(t, gtw, "00000000000000a2"); fault.CodeOf(err) != code.NotReady || lookups.Load() < 2 {
+		t.Errorf("error %v after %d lookups, want a refusal after a search for the owner", err, lookups.Load())
+	}
+	isCutOff.Store(true)
+	before := lookups.Load()
+	if err := submit(t, gtw, "00000000000000a3"); fault.CodeOf(err) != code.NotReady || lookups.Load() > before {
+		t.Errorf("error %v after %d lookups, want a refusal without one", err, lookups.Load()-before)
+	}
+}
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -125,7 +125,7 @@
 	svc.link.Handle(methodOwnership, svc.serveOwnership)
 	svc.gateway = gateway.New(gateway.Config{
 		Address: cfg.PeerAddress, Partitions: cfg.Partitions, PeerEndpoint: svc.link, StateLog: cfg.StateLog,
-		Journal: cfg.Journal, LocalOwner: svc.Owner,
+		Journal: cfg.Journal, LocalOwner: svc.Owner, IsConfirmed: svc.isMembershipConfirmed,
 	})
 	if err := svc.link.Listen(cfg.PeerAddress); err != nil {
 		return nil, err
@@ -167,8 +167,9 @@
 }
 
 // unreadyAfter is how long the membership may be unconfirmed before the entry tells
-// the load balancer that it is not ready: five joins.
-const unreadyAfter = 2 * time.Second
+// the load balancer that it is not ready: four joins. In a zone that is cut off, callers are
+// lost until the load balancer sends them to other zones, which takes two more checks.
+const unreadyAfter = time.Second
 
 // Owner returns the owner of the pool if it runs in this process, or nil.
 func (svc *Service) Owner(pool string) *owner.Owner {
@@ -403,6 +404,13 @@
 	return now.Sub(svc.confirmedAt) < confirmationTTL
 }
 
+// isMembershipConfirmed is isConfirmed for callers without the lock.
+func (svc *Service) isMembershipConfirmed() bool {
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	return svc.isConfirmed(time.Now())
+}
+
 // isRecovering reports whether the membership was confirmed again within
 // takeoverDelay after a gap. Owners that answer may then be about to be confirmed
 // too. The caller holds the lock.
