Start jobs with time to spare of up to a third of their slack

Cause: while a burst lasts, every job starts as late as its rank allows. Change: 0.4 of the expected time to start, but at most a third of the job's slack, so that queues with little slack lose nothing; a started job that cannot be in time gives way.

--- a/internal/schedule/poolscheduler/place.go
+++ b/internal/schedule/poolscheduler/place.go
@@ -66,8 +66,10 @@
 func (sch *Scheduler) rankCandidate(sst *stepState) rank.Candidate {
 	que, _ := sch.queueOf(sst.job.queue)
 	total, remaining := sch.expectedTimes(sst.job, sst.occurrence)
+	since := sst.job.waitStart(sst.occurrence)
+	deadline := deadlineOf(que, since, total)
 	return rank.Candidate{
-		Priority: que.Priority, Deadline: deadlineOf(que, sst.job.waitStart(sst.occurrence), total), Remaining: remaining,
+		Priority: que.Priority, Deadline: deadline, Remaining: remaining, Slack: deadline.Sub(since) - total,
 		IsLongRunning: sst.plan.IsLongRunning, IsBackground: sst.plan.IsBackground,
 		Submitted: sst.job.waitingSince, HasStarted: sst.job.hasStarted,
 	}
--- a/internal/schedule/rank/rank.go
+++ b/internal/schedule/rank/rank.go
@@ -16,6 +16,7 @@
 	Priority      int           // of the queue, 0 first
 	Deadline      time.Time     // deadline of the job
 	Remaining     time.Duration // expected time of the longest remaining chain of steps
+	Slack         time.Duration // time that the job can wait in all without missing its deadline
 	IsLongRunning bool          // the step is long-running
 	IsBackground  bool          // the step consists of background tasks
 	HasStarted    bool          // the job has already used time on VMs
@@ -35,10 +36,14 @@
 	Late
 )
 
-// Reserves, as a share of the expected time.
 const (
-	startReserve    = 0.15 // to start a job
-	continueReserve = -0.3 // to continue one; negative, as the expected time may be too long
+	// startReserve is the time to spare that a job needs to start, as a share of its
+	// expected time. In a burst that lasts, every job starts as late as it may. It then
+	// misses its deadline if it takes a little longer than expected, or if its caller asks
+	// for its state a little later.
+	startReserve = 0.4
+	// maxReserveShare is the largest share of a job's slack that the reserve takes.
+	maxReserveShare = 1. / 3
 )
 
 // BandOf returns the band of a candidate.
@@ -48,19 +53,23 @@
 		return Background
 	case cnd.IsLongRunning:
 		return LongRunning
-	case cnd.HasStarted && meetsDeadline(now, cnd, continueReserve):
+	case cnd.HasStarted && meetsDeadline(now, cnd, 0):
 		return Started
-	case !cnd.HasStarted && meetsDeadline(now, cnd, startReserve):
+	case !cnd.HasStarted && meetsDeadline(now, cnd, cnd.reserve()):
 		return NotStarted
 	}
 	return Late
 }
 
+// reserve returns the time to spare that the job needs to start.
+func (cnd Candidate) reserve() time.Duration {
+	return time.Duration(min(startReserve*float64(cnd.Remaining), max(0, maxReserveShare*float64(cnd.Slack))))
+}
+
 // meetsDeadline reports whether the job can end by its deadline if it takes its
 // expected time plus the reserve.
-func meetsDeadline(now time.Time, cnd Candidate, reserve float64) bool {
-	need := time.Duration((1 + reserve) * float64(cnd.Remaining))
-	return !now.Add(need).After(cnd.Deadline)
+func meetsDeadline(now time.Time, cnd Candidate, reserve time.Duration) bool {
+	return !now.Add(cnd.Remaining + reserve).After(cnd.Deadline)
 }
 
 // Key is the sort key of a candidate.
