--- a/internal/kernel/loop/loop_test.go
+++ b/internal/kernel/loop/loop_test.go
@@ -1,6 +1,7 @@
 package loop_test
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,3 +26,27 @@
 		}
 	})
 }
+
+// A wake-up must not wait for the interval, and wake-ups that come close together must not
+// run the step more often than the pause allows.
+func TestEveryOrWokenRunsSoonButNotTooOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wake := make(chan struct{}, 1)
+		start, runs := time.Now(), []time.Duration{}
+		lop := loop.EveryOrWoken("woken", time.Second, 20*time.Millisecond, wake, func(now time.Time) { runs = append(runs, now.Sub(start)) })
+		time.Sleep(300 * time.Millisecond)
+		for range 20 {
+			select {
+			case wake <- struct{}{}:
+			default:
+			}
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(100 * time.Millisecond)
+		lop.Stop()
+		want := []time.Duration{0, 300 * time.Millisecond, 320 * time.Millisecond}
+		if !slices.Equal(runs, want) {
+			t.Errorf("runs at %v, want %v", runs, want)
+		}
+	})
+}
--- a/internal/schedule/fleetcontroller/fleetcontroller_test.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller_test.go
@@ -156,10 +156,15 @@
 }
 
 func openController(t *testing.T, log *logstore.Store, plt *fakePlatform, name string) *fleetcontroller.Controller {
+	t.Helper()
+	return openControllerWithRate(t, log, plt, name, orderRate)
+}
+
+func openControllerWithRate(t *testing.T, log *logstore.Store, plt *fakePlatform, name string, rate float64) *fleetcontroller.Controller {
 	t.Helper()
 	tab := queue.NewTable(1, nil, []queue.Pool{{Name: "gate"}, {Name: "haul"}})
 	ctl, err := fleetcontroller.Open(t.Context(), time.Now(), fleetcontroller.Config{
-		Holder: name, Address: name, OrderLease: orderLease, OrderRate: orderRate, StateLog: log.Client(), Directory: plt.directory(),
+		Holder: name, Address: name, OrderLease: orderLease, OrderRate: rate, StateLog: log.Client(), Directory: plt.directory(),
 		Journal: journal.New(journal.Config{}), Table: func() *queue.Table { return tab },
 	})
 	if err != nil {
@@ -500,3 +505,42 @@
 		}
 	})
 }
+
+// A burst of short jobs cannot wait for rounds: a VM that is idle must be ordered to the
+// pool of the burst as soon as the pool's owner reports it evacuated.
+func TestIdleVMIsOrderedAsSoonAsItIsEvacuated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
+		ctl := openController(t, log, plt, "first")
+		plt.runFor(ctl, 0, time.Second)
+		time.Sleep(30 * time.Millisecond) // between two rounds
+		begun := time.Now()
+		for range 3 { // reports follow each other at once, as VMs become free
+			plt.reportPools(ctl, 10*16000)
+			time.Sleep(25 * time.Millisecond)
+		}
+		ctl.Close()
+		if len(plt.orders) == 0 || plt.orders[0].at.Sub(begun) > 100*time.Millisecond {
+			t.Errorf("orders %v, want the first within 100 ms of the burst's first report at %v", plt.orders, begun)
+		}
+	})
+}
+
+// Rounds that reports make due early must not send more orders than the platform accepts.
+func TestEarlyRoundsKeepTheOrderRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const rate = 10
+		log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
+		ctl := openControllerWithRate(t, log, plt, "first", rate)
+		ctl.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: plt.names(), Cap: 16, Within: time.Minute})
+		begun := time.Now()
+		for time.Since(begun) < time.Second {
+			plt.reportPools(ctl, 0) // evacuated VMs make a round due
+			time.Sleep(25 * time.Millisecond)
+		}
+		ctl.Close()
+		if count := len(plt.orders); count < rate/2 || count > rate+1 {
+			t.Errorf("%d orders in a second, want nearly %d and one that was saved up", count, rate)
+		}
+	})
+}
--- a/internal/schedule/poolscheduler/poolscheduler_test.go
+++ b/internal/schedule/poolscheduler/poolscheduler_test.go
@@ -297,3 +297,27 @@
 		t.Errorf("the VM counts %d tasks after the end is stored", got)
 	}
 }
+
+// Bursts reach a pool within a second. Its owner must not wait for its next regular report
+// when a second of work for a VM has arrived, nor when a VM that is to move is free.
+func TestReportIsDueInABurstAndWhenAVMIsEvacuated(t *testing.T) {
+	sch, _ := newScheduler(true)
+	addVMs(start, sch, vm("a", 1), vm("b", 1))
+	sch.BalanceInput(start)
+	accept(start, sch, step(3, 1000))
+	if sch.IsReportDue(start) {
+		t.Error("a report is due after three seconds of work for a core")
+	}
+	sch.Accept(start, jobrecord.Job{Queue: "q", FirstAttempt: start, Plan: &plan.Plan{ID: "00000000000000b1", Steps: []plan.Step{step(1, 1000)}}})
+	if !sch.IsReportDue(start) {
+		t.Error("no report is due after a second of work for a VM")
+	}
+	sch.BalanceInput(start)
+	if sch.IsReportDue(start) {
+		t.Error("a report is due right after one")
+	}
+	sch.SetEvacuating(start, map[string]bool{"b": true})
+	if !sch.IsReportDue(start) {
+		t.Error("no report is due although a VM without tasks is to be evacuated")
+	}
+}
