Give a VM that has not answered in time no tasks until it reports

Cause: when a zone is cut off in a burst, its VMs finish nothing, count as usable until two polls have failed and seem to have the most free capacity; tasks that are started there stay lost until their lease ends.

--- a/internal/schedule/owner/loops.go
+++ b/internal/schedule/owner/loops.go
@@ -242,6 +242,9 @@
 func (own *Owner) poll(sent time.Time, tgt agent.Target, req agent.Poll) (ended bool, err error) {
 	rpt, out, err := own.callPoll(tgt, req, firstPollSlack)
 	if out == agent.Unknown && !own.isEnding() {
+		own.mu.Lock()
+		own.sch.HandleLatePoll(tgt.VM)
+		own.mu.Unlock()
 		sent, req.Wait = time.Now(), 0
 		rpt, out, err = own.callPoll(tgt, req, pollTimeoutSlack)
 	}
--- a/internal/schedule/poolscheduler/place.go
+++ b/internal/schedule/poolscheduler/place.go
@@ -213,7 +213,7 @@
 // isUsable reports whether the VM may take tasks, apart from its backoff and the age of
 // its last report.
 func (vst *vmState) isUsable(now time.Time) bool {
-	return vst.hasReported && vst.isStored && vst.isPresent(now) && !vst.isUnresponsive && !vst.isEvacuating &&
+	return vst.hasReported && vst.isStored && vst.isPresent(now) && !vst.isUnresponsive && !vst.isLate && !vst.isEvacuating &&
 		!vst.host.IsDraining && len(vst.unwantedRuns) == 0
 }
 
--- a/internal/schedule/poolscheduler/report.go
+++ b/internal/schedule/poolscheduler/report.go
@@ -113,7 +113,7 @@
 		sch.cfg.Event(now, "vmHeld", slog.String("vm", id), slog.Int64("fence", sch.cfg.FencingToken),
 			slog.Int("active", len(rpt.Active)), slog.Int("ended", len(rpt.Ended)))
 	}
-	vst.clock, vst.clockAt, vst.lastReportAt, vst.isUnresponsive = rpt.Clock, now, now, false
+	vst.clock, vst.clockAt, vst.lastReportAt, vst.isUnresponsive, vst.isLate = rpt.Clock, now, now, false, false
 	for _, end := range rpt.Ended {
 		if end.Number > vst.lastEndSeen {
 			vst.lastEndSeen = end.Number
--- a/internal/schedule/poolscheduler/state.go
+++ b/internal/schedule/poolscheduler/state.go
@@ -99,6 +99,7 @@
 	isStored            bool      // its record is stored, so tasks may run there
 	isUnreconciled      bool      // tasks of an earlier owner may run there that this owner does not know of
 	hasReported         bool      // its current incarnation has reported to this owner
+	isLate              bool      // the last poll was not answered in time
 	isUnresponsive      bool      // the last poll failed or a start order did not reach it
 	isEvacuating        bool      // it is to be evacuated for maintenance or a move to another pool
 	evacuatingSince     time.Time
--- a/internal/schedule/poolscheduler/vm.go
+++ b/internal/schedule/poolscheduler/vm.go
@@ -146,6 +146,15 @@
 // NeedsConfirmation reports whether tasks wait for a confirmation of the ownership.
 func (sch *Scheduler) NeedsConfirmation() bool { return len(sch.unconfirmedTasks) > 0 }
 
+// HandleLatePoll handles a poll that the VM has not answered in time. The VM gets no new
+// tasks until its next report: when a zone is cut off, its VMs seem to have the most free
+// capacity.
+func (sch *Scheduler) HandleLatePoll(id string) {
+	if vst, ok := sch.vms[id]; ok {
+		vst.isLate = true
+	}
+}
+
 // HandlePollFailure handles a failed poll of the VM, which gets no new tasks before it
 // answers again.
 func (sch *Scheduler) HandlePollFailure(id string) {
--- a/internal/schedule/poolscheduler/zone_test.go
+++ b/internal/schedule/poolscheduler/zone_test.go
@@ -116,3 +116,22 @@
 		t.Errorf("%d starts once all VMs have reported, want 3", got)
 	}
 }
+
+// When a zone is cut off in a burst, its VMs finish nothing and so seem to have the most
+// free capacity. A VM that has not answered in time must get no task until it reports.
+func TestVMWhoseAnswerIsLateGetsNoTasks(t *testing.T) {
+	sch, _ := newScheduler(true)
+	addVMs(start, sch, vm("a", 1), vm("b", 1))
+	accept(start, sch, step(4, 1000))
+	sch.HandleLatePoll("a")
+	for _, ord := range starts(sch.Plan(start)) {
+		if ord.Target.VM == "a" {
+			t.Errorf("task %s starts on a VM that has not answered in time", ord.Task)
+		}
+	}
+	sch.HandleReport(start, start, "a", agent.Report{Incarnation: 1})
+	sch.Accept(start, jobrecord.Job{Queue: "q", FirstAttempt: start, Plan: &plan.Plan{ID: "00000000000000c1", Steps: []plan.Step{step(4, 1000)}}})
+	if got := starts(sch.Plan(start)); len(got) != 4 || got[0].Target.VM != "a" {
+		t.Errorf("starts %+v, want four on a, which has answered", got)
+	}
+}
