Log VMs that answer late and count their tasks as unavailable

A late VM changes what the owner believes, so it has a line (vmLate); its last report is no evidence that its long-running tasks are at work. poolState also shows the forecast and the late demand, the other inputs of moves. The bound of calls by an entry that may be cut off stands once.

--- a/internal/schedule/fleetcontroller/moves.go
+++ b/internal/schedule/fleetcontroller/moves.go
@@ -100,7 +100,8 @@
 		}
 		ctl.cfg.Journal.Event(now, "poolState", slog.String("pool", pol.Name), slog.Int("vms", len(pol.VMs)),
 			slog.Int("usable", usable), slog.Int("tasks", tasks), slog.Int64("wantedMilliCores", pol.Demand),
-			slog.Int64("incomingMilliCores", pol.Incoming))
+			slog.Int64("incomingMilliCores", pol.Incoming), slog.Int64("forecastMilliCores", pol.Forecast),
+			slog.Int64("lateMilliCores", pol.LateDemand))
 	}
 }
 
--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -123,11 +123,8 @@
 		return rep.State, true, nil
 	}
 	part := group.PartitionOf(que.Pool, gtw.cfg.Partitions)
-	if !gtw.cfg.IsConfirmed() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, cutOffTimeout)
-		defer cancel()
-	}
+	ctx, cancel := gtw.limitIfCutOff(ctx)
+	defer cancel()
 	ste, found, lookupErr := owner.StoredState(ctx, gtw.cfg.StateLog, que.Pool, part, id)
 	if lookupErr != nil {
 		return 0, false, fault.Wrap(lookupErr, code.LogUnavailable, "state of job %s", id)
@@ -217,11 +214,14 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := gtw.connect(callCtx, address); err != nil {
+	connectCtx, stop := gtw.limitIfCutOff(callCtx)
+	err := gtw.cfg.PeerEndpoint.Connect(connectCtx, address)
+	stop()
+	if err != nil {
 		return reply{}, fault.Wrap(err, code.NotReady, "owner of the pool %s", req.Pool)
 	}
 	var rep reply
-	err := gtw.cfg.PeerEndpoint.Call(callCtx, address, method, req, &rep)
+	err = gtw.cfg.PeerEndpoint.Call(callCtx, address, method, req, &rep)
 	if err != nil && fault.CodeOf(err) == code.PlatformError {
 		// The connection failed or the call timed out: it may have been received.
 		return rep, fault.Wrap(err, code.OutcomeUnknown, "owner of the pool %s", req.Pool)
@@ -229,15 +229,13 @@
 	return rep, err
 }
 
-// connect connects to the owner. An entry that may be cut off gives up soon, as its callers
-// are better served by another one.
-func (gtw *Gateway) connect(ctx context.Context, address string) error {
-	if !gtw.cfg.IsConfirmed() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, cutOffTimeout)
-		defer cancel()
+// limitIfCutOff limits ctx to cutOffTimeout if this entry may be cut off. Its callers are
+// then better served by another entry.
+func (gtw *Gateway) limitIfCutOff(ctx context.Context) (context.Context, context.CancelFunc) {
+	if gtw.cfg.IsConfirmed() {
+		return context.WithCancel(ctx)
 	}
-	return gtw.cfg.PeerEndpoint.Connect(ctx, address)
+	return context.WithTimeout(ctx, cutOffTimeout)
 }
 
 // refreshOwner looks up the pool's owner, once for all requests that wait for it.
--- a/internal/schedule/owner/loops.go
+++ b/internal/schedule/owner/loops.go
@@ -237,13 +237,13 @@
 	return own.cfg.Agent.Poll(ctx, tgt, req)
 }
 
-// poll polls a VM, a second time if the answer is lost, and passes the report to the pool scheduler. It reports
-// whether runs have ended.
+// poll polls a VM, a second time if the answer is lost, and passes the report to the pool
+// scheduler. It reports whether runs have ended.
 func (own *Owner) poll(sent time.Time, tgt agent.Target, req agent.Poll) (ended bool, err error) {
 	rpt, out, err := own.callPoll(tgt, req, firstPollSlack)
 	if out == agent.Unknown && !own.isEnding() {
 		own.mu.Lock()
-		own.sch.HandleLatePoll(tgt.VM)
+		own.sch.HandleLatePoll(time.Now(), tgt.VM)
 		own.mu.Unlock()
 		sent, req.Wait = time.Now(), 0
 		rpt, out, err = own.callPoll(tgt, req, pollTimeoutSlack)
--- a/internal/schedule/poolscheduler/evacuating_test.go
+++ b/internal/schedule/poolscheduler/evacuating_test.go
@@ -72,8 +72,12 @@
 	sch.SetListedVMs(start, []host.Host{vm("a", 1), vm("b", 1), vm("c", 1)})
 	sch.CommitBatch(sch.TakeBatch())
 	sch.HandleReport(start, start, "c", agent.Report{Incarnation: 1})
-	sch.HandlePollFailure("b")
+	sch.HandleLatePoll(start, "b")
 	sch.SetEvacuating(start, map[string]bool{"a": true})
+	if orders := sch.Plan(start); len(orders) != 0 {
+		t.Errorf("orders %+v while the other task's VM is late to answer, want none", orders)
+	}
+	sch.HandlePollFailure("b")
 	for _, now := range []time.Time{start, start.Add(3 * time.Second)} {
 		if orders := sch.Plan(now); len(orders) != 0 {
 			t.Errorf("orders %+v while the other task's VM does not answer, want none", orders)
--- a/internal/schedule/poolscheduler/pool.go
+++ b/internal/schedule/poolscheduler/pool.go
@@ -12,7 +12,7 @@
 // BalanceInput returns the VMs and the demand of the pool for package balance.
 func (sch *Scheduler) BalanceInput(now time.Time) balance.Pool {
 	pol := balance.Pool{Name: sch.cfg.Name, Arrived: sch.arrived}
-	sch.reported = sch.reportTrigger(now)
+	sch.reported = sch.currentTrigger(now)
 	for _, vst := range sch.sortedVMs() {
 		vm := balance.VM{
 			ID: vst.host.ID, MilliCores: vst.host.Capacity.MilliCores, Tasks: vst.occupancy(now),
@@ -59,7 +59,7 @@
 	evacuatedVMs int
 }
 
-func (sch *Scheduler) reportTrigger(now time.Time) reportTrigger {
+func (sch *Scheduler) currentTrigger(now time.Time) reportTrigger {
 	trg := reportTrigger{work: sch.arrived.Work}
 	for _, vst := range sch.sortedVMs() {
 		if vst.isEvacuating && vst.occupancy(now) == 0 {
@@ -73,7 +73,7 @@
 // second of work for a VM has arrived, as at the start of a burst, or a VM that is to be
 // evacuated has become free.
 func (sch *Scheduler) IsReportDue(now time.Time) bool {
-	trg := sch.reportTrigger(now)
+	trg := sch.currentTrigger(now)
 	vms := sch.sortedVMs()
 	return trg.evacuatedVMs > sch.reported.evacuatedVMs ||
 		len(vms) > 0 && trg.work-sch.reported.work >= vms[0].host.Capacity.MilliCores
@@ -167,7 +167,7 @@
 // isAvailable reports whether the task is known to be at work. The last report of a VM
 // that does not answer any more is no evidence of that.
 func (tst *taskState) isAvailable() bool {
-	return tst.phase == running && tst.percentDone >= fullPercent && !tst.vm.isUnresponsive
+	return tst.phase == running && tst.percentDone >= fullPercent && !tst.vm.isUnresponsive && !tst.vm.isLate
 }
 
 // evacuationLogDelay is how long an evacuation may take before its delay is logged.
--- a/internal/schedule/poolscheduler/vm.go
+++ b/internal/schedule/poolscheduler/vm.go
@@ -149,10 +149,13 @@
 // HandleLatePoll handles a poll that the VM has not answered in time. The VM gets no new
 // tasks until its next report: when a zone is cut off, its VMs seem to have the most free
 // capacity.
-func (sch *Scheduler) HandleLatePoll(id string) {
-	if vst, ok := sch.vms[id]; ok {
-		vst.isLate = true
+func (sch *Scheduler) HandleLatePoll(now time.Time, id string) {
+	vst, ok := sch.vms[id]
+	if !ok {
+		return
 	}
+	vst.isLate = true
+	sch.cfg.Event(now, "vmLate", slog.String("vm", id), slog.Int("tasks", len(vst.tasks)), slog.Duration("silent", now.Sub(vst.lastReportAt)))
 }
 
 // HandlePollFailure handles a failed poll of the VM, which gets no new tasks before it
--- a/internal/schedule/poolscheduler/zone_test.go
+++ b/internal/schedule/poolscheduler/zone_test.go
@@ -123,7 +123,7 @@
 	sch, _ := newScheduler(true)
 	addVMs(start, sch, vm("a", 1), vm("b", 1))
 	accept(start, sch, step(4, 1000))
-	sch.HandleLatePoll("a")
+	sch.HandleLatePoll(start, "a")
 	for _, ord := range starts(sch.Plan(start)) {
 		if ord.Target.VM == "a" {
 			t.Errorf("task %s starts on a VM that has not answered in time", ord.Task)
