--- a/internal/schedule/poolscheduler/evacuating_test.go
+++ b/internal/schedule/poolscheduler/evacuating_test.go
@@ -63,24 +63,28 @@
 // maintenance before the lease of the failed VM has expired. Found by a search over
 // simulated days, on day 5528-3 of site compost.
 func TestTaskOnUnresponsiveVMIsUnavailable(t *testing.T) {
-	sch, _ := newScheduler(true)
-	addVMs(start, sch, vm("a", 1), vm("b", 1))
-	stp := step(2, 100)
-	stp.IsLongRunning, stp.MaxPerVM, stp.MaxUnavailable = true, 1, 1
-	accept(start, sch, stp)
-	startAll(sch)
-	sch.SetListedVMs(start, []host.Host{vm("a", 1), vm("b", 1), vm("c", 1)})
-	sch.CommitBatch(sch.TakeBatch())
-	sch.HandleReport(start, start, "c", agent.Report{Incarnation: 1})
-	sch.HandleLatePoll(start, "b")
-	sch.SetEvacuating(start, map[string]bool{"a": true})
-	if orders := sch.Plan(start); len(orders) != 0 {
-		t.Errorf("orders %+v while the other task's VM is late to answer, want none", orders)
-	}
-	sch.HandlePollFailure("b")
-	for _, now := range []time.Time{start, start.Add(3 * time.Second)} {
-		if orders := sch.Plan(now); len(orders) != 0 {
-			t.Errorf("orders %+v while the other task's VM does not answer, want none", orders)
+	for _, tst := range []struct {
+		name string
+		fail func(sch *poolscheduler.Scheduler)
+	}{
+		{"does not answer", func(sch *poolscheduler.Scheduler) { sch.HandlePollFailure("b") }},
+		{"is late to answer", func(sch *poolscheduler.Scheduler) { sch.HandleLatePoll(start, "b") }},
+	} {
+		sch, _ := newScheduler(true)
+		addVMs(start, sch, vm("a", 1), vm("b", 1))
+		stp := step(2, 100)
+		stp.IsLongRunning, stp.MaxPerVM, stp.MaxUnavailable = true, 1, 1
+		accept(start, sch, stp)
+		startAll(sch)
+		sch.SetListedVMs(start, []host.Host{vm("a", 1), vm("b", 1), vm("c", 1)})
+		sch.CommitBatch(sch.TakeBatch())
+		sch.HandleReport(start, start, "c", agent.Report{Incarnation: 1})
+		tst.fail(sch)
+		sch.SetEvacuating(start, map[string]bool{"a": true})
+		for _, now := range []time.Time{start, start.Add(3 * time.Second)} {
+			if orders := sch.Plan(now); len(orders) != 0 {
+				t.Errorf("orders %+v while the other task's VM %s, want none", orders, tst.name)
+			}
 		}
 	}
 }
