Wait for later reports before tasks are stopped beside those of an earlier owner

Change: a task that an earlier owner started counts as available only by a report one second after the VM's first one; such VMs are polled each 0.3 s. TestAdoptedTaskMayBeStoppingForAWhile fails before the change and passes after.

--- a/internal/schedule/poolscheduler/evacuating_test.go
+++ b/internal/schedule/poolscheduler/evacuating_test.go
@@ -6,6 +6,9 @@
 
 	"daisywheel/internal/fleet/agent"
 	"daisywheel/internal/fleet/host"
+	"daisywheel/internal/job/plan"
+	"daisywheel/internal/job/task"
+	"daisywheel/internal/schedule/jobrecord"
 	"daisywheel/internal/schedule/poolscheduler"
 )
 
@@ -161,3 +164,38 @@
 		t.Errorf("VM %+v, want it free after its report", vms[0])
 	}
 }
+
+// An earlier owner stops a task of a step and loses the pool. The VM still reports the task
+// at work, as a stop takes a while. The new owner must not stop another task of the step
+// before later reports show that the first one goes on. Found in a score of a large site.
+func TestAdoptedTaskMayBeStoppingForAWhile(t *testing.T) {
+	sch, _ := newScheduler(false)
+	stp := step(2, 100)
+	stp.IsLongRunning, stp.MaxPerVM, stp.MaxUnavailable = true, 1, 1
+	pln := &plan.Plan{ID: jobID, Steps: []plan.Step{stp}}
+	report := func(now time.Time) {
+		for idx, id := range []string{"a", "b"} {
+			run := agent.Run{Task: task.ID{Job: jobID, Index: idx}, Number: 1, Percent: 100}
+			sch.HandleReport(now, now, id, agent.Report{Incarnation: 1, Active: []agent.Run{run}})
+		}
+		sch.HandleReport(now, now, "c", agent.Report{Incarnation: 1})
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		sch.RestoreVM(start, vm(id, 1))
+	}
+	sch.RestoreJob(start, jobID, &jobrecord.Job{Queue: "q", FirstAttempt: start, Plan: pln}, jobrecord.Progress{State: jobrecord.Running})
+	sch.SetListedVMs(start, []host.Host{vm("a", 1), vm("b", 1), vm("c", 1)})
+	report(start)
+	sch.SetEvacuating(start, map[string]bool{"a": true})
+	if orders := sch.Plan(start); len(orders) > 0 {
+		t.Errorf("orders %+v right after the takeover, want none", orders)
+	}
+	if _, poll, _ := sch.NextPoll(start, "b"); poll.Wait > 500*time.Millisecond {
+		t.Errorf("the next report of an adopted task may come after %s", poll.Wait)
+	}
+	later := start.Add(1100 * time.Millisecond)
+	report(later)
+	if orders := sch.Plan(later); len(orders) != 1 || orders[0].Kind != poolscheduler.StopTask {
+		t.Errorf("orders %+v once both tasks are known to go on, want one stop", orders)
+	}
+}
--- a/internal/schedule/poolscheduler/place.go
+++ b/internal/schedule/poolscheduler/place.go
@@ -228,7 +228,7 @@
 const reportStaleAfter = 3500 * time.Millisecond
 
 func (sch *Scheduler) startTask(now time.Time, vst *vmState, tst *taskState, run int) Order {
-	tst.run, tst.phase, tst.startSentAt, tst.startAnsweredAt, tst.isStartUnknown = run, starting, now, time.Time{}, false
+	tst.run, tst.phase, tst.startSentAt, tst.startAnsweredAt, tst.isStartUnknown, tst.isAdopted = run, starting, now, time.Time{}, false, false
 	tst.step.waitingCount--
 	tst.step.lastStartAt = now
 	vst.addTask(tst)
--- a/internal/schedule/poolscheduler/poll.go
+++ b/internal/schedule/poolscheduler/poll.go
@@ -30,7 +30,7 @@
 	// which do within it. A lost poll costs as much time.
 	busyPollWait = 600 * time.Millisecond
 	// startupPollWait is the wait for a VM with a long-running task that is not at work
-	// yet: the next task of its step may be moved only after that.
+	// yet, or not known to be: the next task of its step may be moved only after that.
 	startupPollWait = 300 * time.Millisecond
 )
 
@@ -39,7 +39,7 @@
 	wait := idlePollWait
 	for _, tst := range vst.tasks {
 		switch {
-		case tst.step.plan.IsLongRunning && tst.percentDone < fullPercent:
+		case tst.step.plan.IsLongRunning && (tst.percentDone < fullPercent || tst.mayBeStopping()):
 			return startupPollWait
 		case !tst.step.plan.IsLongRunning || tst.phase != running:
 			wait = busyPollWait
--- a/internal/schedule/poolscheduler/pool.go
+++ b/internal/schedule/poolscheduler/pool.go
@@ -164,10 +164,20 @@
 	return count
 }
 
+// stopGracePeriod is how long a run may still be reported as active after an earlier owner
+// has stopped it: longer than a stop takes.
+const stopGracePeriod = time.Second
+
+// mayBeStopping reports whether an earlier owner may have stopped the task's run. Since the
+// VM's first report to this owner it has refused the orders of earlier ones.
+func (tst *taskState) mayBeStopping() bool {
+	return tst.isAdopted && tst.vm.lastReportAt.Sub(tst.vm.heldAt) < stopGracePeriod
+}
+
 // isAvailable reports whether the task is known to be at work. The last report of a VM
 // that does not answer any more is no evidence of that.
 func (tst *taskState) isAvailable() bool {
-	return tst.phase == running && tst.percentDone >= fullPercent && !tst.vm.isUnresponsive && !tst.vm.isLate
+	return tst.phase == running && !tst.mayBeStopping() && tst.percentDone >= fullPercent && !tst.vm.isUnresponsive && !tst.vm.isLate
 }
 
 // evacuationLogDelay is how long an evacuation may take before its delay is logged.
--- a/internal/schedule/poolscheduler/report.go
+++ b/internal/schedule/poolscheduler/report.go
@@ -108,7 +108,7 @@
 		if !vst.isUnreconciled {
 			vst.firstReportAt = now // a VM that an earlier owner used has not just joined the pool
 		}
-		vst.hasReported, vst.isUnreconciled = true, false
+		vst.hasReported, vst.isUnreconciled, vst.heldAt = true, false, now
 		vst.leaseEnd = laterOf(vst.leaseEnd, now.Add(leaseBound(sch.cfg.MaxLease)))
 		sch.cfg.Event(now, "vmHeld", slog.String("vm", id), slog.Int64("fence", sch.cfg.FencingToken),
 			slog.Int("active", len(rpt.Active)), slog.Int("ended", len(rpt.Ended)))
@@ -177,7 +177,7 @@
 	tst.run, tst.phase, tst.startAnsweredAt = run.Number, running, vst.lastReportAt
 	vst.addTask(tst)
 	tst.step.job.hasStarted = true
-	tst.pace = unknownPace
+	tst.isAdopted, tst.pace = true, unknownPace
 	sch.updateRun(tst, vst.lastReportAt, run)
 }
 
--- a/internal/schedule/poolscheduler/state.go
+++ b/internal/schedule/poolscheduler/state.go
@@ -31,6 +31,7 @@
 	checkpoint       string
 	startSentAt      time.Time
 	startAnsweredAt  time.Time // when the start order's call returned or a report showed the run; zero before
+	isAdopted        bool      // an earlier owner started the run
 	isStartUnknown   bool      // the start order got no answer, so the run may or may not begin
 	stopSentAt       time.Time
 	stopAckedAt      time.Time
@@ -98,6 +99,7 @@
 	unlistedAt          time.Time // when it was last dropped from the platform's list
 	isStored            bool      // its record is stored, so tasks may run there
 	isUnreconciled      bool      // tasks of an earlier owner may run there that this owner does not know of
+	heldAt              time.Time // when its current incarnation reported to this owner for the first time
 	hasReported         bool      // its current incarnation has reported to this owner
 	isLate              bool      // the last poll was not answered in time
 	isUnresponsive      bool      // the last poll failed or a start order did not reach it
