Log when a job's start is ordered apart from when a run has begun

jobBegun was written as a start order was planned, so the log could not tell a job that runs from one whose start was refused, lost or sent to a VM that is gone. jobOrdered now stands for the order, and jobBegun for the first confirmation or report of a run. Nothing is decided by it yet.

--- a/internal/schedule/poolscheduler/end.go
+++ b/internal/schedule/poolscheduler/end.go
@@ -16,6 +16,7 @@
 	if tst == nil || tst.phase == done {
 		return
 	}
+	sch.markBegun(now, tst, vst.host.ID)
 	isCurrent := tst.vm == vst && tst.run == end.Run
 	if end.Checkpoint != "" && (isCurrent || tst.vm == nil && end.Run >= tst.run) {
 		tst.checkpoint = end.Checkpoint
--- a/internal/schedule/poolscheduler/place.go
+++ b/internal/schedule/poolscheduler/place.go
@@ -235,7 +235,7 @@
 	jst := tst.step.job
 	if !jst.hasStarted {
 		jst.hasStarted = true
-		sch.cfg.Event(now, "jobBegun", slog.String("job", jst.plan.ID), slog.String("vm", vst.host.ID),
+		sch.cfg.Event(now, "jobOrdered", slog.String("job", jst.plan.ID), slog.String("vm", vst.host.ID),
 			slog.Duration("waited", now.Sub(jst.waitingSince)))
 	}
 	return Order{Kind: StartTask, Target: sch.target(vst), Task: tst.id, Run: run, Start: agent.Start{
@@ -246,6 +246,9 @@
 // HandleStartOutcome handles the outcome of a start order.
 func (sch *Scheduler) HandleStartOutcome(now time.Time, ord Order, out agent.Outcome) {
 	tst := sch.findTask(ord.Task)
+	if tst != nil && out == agent.Done {
+		sch.markBegun(now, tst, ord.Target.VM)
+	}
 	if tst == nil || tst.vm == nil || tst.vm.host.ID != ord.Target.VM || tst.run != ord.Run || tst.phase == done {
 		return
 	}
--- a/internal/schedule/poolscheduler/record.go
+++ b/internal/schedule/poolscheduler/record.go
@@ -168,6 +168,7 @@
 	jst.extraZones = prg.ExtraZones
 	jst.isInherited, jst.storedState = !sch.cfg.IsFirstTerm, prg.State
 	jst.hasStarted = prg.State == jobrecord.Running
+	jst.hasBegun = jst.hasStarted
 	sch.jobs[id] = jst
 	sch.restoreDoneOccurrences(jst, prg)
 	sch.openDueOccurrences(now, jst)
--- a/internal/schedule/poolscheduler/report.go
+++ b/internal/schedule/poolscheduler/report.go
@@ -123,7 +123,7 @@
 	activeRuns := make(map[task.ID]int, len(rpt.Active))
 	for _, run := range rpt.Active {
 		activeRuns[run.Task] = run.Number
-		sch.handleActiveRun(vst, sent, run)
+		sch.handleActiveRun(now, vst, sent, run)
 	}
 	sch.handleAbsentTasks(now, sent, vst, activeRuns)
 }
@@ -145,8 +145,11 @@
 // handleActiveRun handles a run that the VM reports as active: it updates the task if
 // the run is the current one, adopts the run if the task has none, and otherwise adds
 // it to the unwanted runs.
-func (sch *Scheduler) handleActiveRun(vst *vmState, sent time.Time, run agent.Run) {
+func (sch *Scheduler) handleActiveRun(now time.Time, vst *vmState, sent time.Time, run agent.Run) {
 	tst := sch.findTask(run.Task)
+	if tst != nil {
+		sch.markBegun(now, tst, vst.host.ID)
+	}
 	switch {
 	case tst == nil || tst.phase == done || tst.step.job.state.IsEnded() && tst.vm == nil:
 		vst.addUnwantedRun(runKey{run.Task, run.Number}, tst)
--- a/internal/schedule/poolscheduler/state.go
+++ b/internal/schedule/poolscheduler/state.go
@@ -82,6 +82,7 @@
 	isInherited         bool     // stored before this owner's term
 	isDirty             bool     // its progress is to be stored
 	hasStarted          bool     // a task has been started
+	hasBegun            bool     // a VM is known to have begun a run of a task
 	placedTasks         int      // tasks on VMs, starting, running or stopping
 	homeZone            string   // zone that its tasks are confined to; empty for no restriction
 	extraZones          []string // other zones where its tasks may run, as stored
