Count a job as queued until a run of it has begun

Callers saw: a job whose start was refused, lost, or sent to a VM that was gone was left out of its queue's count and shown as running for good, also by later owners.

Cause: the scheduler took the plan to send a start order for the begin of a run. What undoes the order put the task back, but not the job, and the stored progress of such a job said running, so the next owner left it out too.

Now only a confirmation or a report of a VM makes a job begun, and only a begun job is stored as running. In the order of waiting work a job counts as started while it has tasks on VMs, so an order under way ranks as before.

--- a/internal/schedule/poolscheduler/place.go
+++ b/internal/schedule/poolscheduler/place.go
@@ -71,7 +71,7 @@
 	return rank.Candidate{
 		Priority: que.Priority, Deadline: deadline, Remaining: remaining, Slack: deadline.Sub(since) - total,
 		IsLongRunning: sst.plan.IsLongRunning, IsBackground: sst.plan.IsBackground,
-		Submitted: sst.job.waitingSince, HasStarted: sst.job.hasStarted,
+		Submitted: sst.job.waitingSince, HasStarted: sst.job.hasBegun || sst.job.placedTasks > 0,
 	}
 }
 
@@ -233,8 +233,8 @@
 	tst.step.lastStartAt = now
 	vst.addTask(tst)
 	jst := tst.step.job
-	if !jst.hasStarted {
-		jst.hasStarted = true
+	if !jst.isOrderLogged {
+		jst.isOrderLogged = true
 		sch.cfg.Event(now, "jobOrdered", slog.String("job", jst.plan.ID), slog.String("vm", vst.host.ID),
 			slog.Duration("waited", now.Sub(jst.waitingSince)))
 	}
--- a/internal/schedule/poolscheduler/poolscheduler.go
+++ b/internal/schedule/poolscheduler/poolscheduler.go
@@ -258,18 +258,18 @@
 	if jst.storedState.IsEnded() {
 		return jst.storedState, true
 	}
-	if jst.hasStarted || jst.state == jobrecord.Running {
+	if jst.hasBegun {
 		return jobrecord.Running, true
 	}
 	return jobrecord.Queued, true
 }
 
-// CountQueued returns the number of jobs of the queue that have not started.
-// Repeating jobs are not counted.
+// CountQueued returns the number of jobs of the queue of which no run is known to have
+// begun. Repeating jobs are not counted.
 func (sch *Scheduler) CountQueued(queue string) int {
 	count := 0
 	for _, jst := range sch.jobs {
-		if jst.queue == queue && !jst.hasStarted && !jst.state.IsEnded() && !jst.plan.IsRepeating() {
+		if jst.queue == queue && !jst.hasBegun && !jst.state.IsEnded() && !jst.plan.IsRepeating() {
 			count++
 		}
 	}
--- a/internal/schedule/poolscheduler/record.go
+++ b/internal/schedule/poolscheduler/record.go
@@ -113,7 +113,7 @@
 	if jst.state.IsEnded() {
 		return prg
 	}
-	if jst.hasStarted {
+	if jst.hasBegun {
 		prg.State = jobrecord.Running
 	}
 	prg.ExtraZones = slices.Clone(jst.extraZones)
@@ -167,8 +167,7 @@
 	jst := sch.newJobState(firstAttemptTime(now, *jb), *jb)
 	jst.extraZones = prg.ExtraZones
 	jst.isInherited, jst.storedState = !sch.cfg.IsFirstTerm, prg.State
-	jst.hasStarted = prg.State == jobrecord.Running
-	jst.hasBegun = jst.hasStarted
+	jst.hasBegun = prg.State == jobrecord.Running
 	sch.jobs[id] = jst
 	sch.restoreDoneOccurrences(jst, prg)
 	sch.openDueOccurrences(now, jst)
--- a/internal/schedule/poolscheduler/report.go
+++ b/internal/schedule/poolscheduler/report.go
@@ -179,7 +179,6 @@
 	}
 	tst.run, tst.phase, tst.startAnsweredAt = run.Number, running, vst.lastReportAt
 	vst.addTask(tst)
-	tst.step.job.hasStarted = true
 	tst.isAdopted, tst.pace = true, unknownPace
 	sch.updateRun(tst, vst.lastReportAt, run)
 }
--- a/internal/schedule/poolscheduler/state.go
+++ b/internal/schedule/poolscheduler/state.go
@@ -81,7 +81,7 @@
 	endedAt             time.Time
 	isInherited         bool     // stored before this owner's term
 	isDirty             bool     // its progress is to be stored
-	hasStarted          bool     // a task has been started
+	isOrderLogged       bool     // its first start order has been logged
 	hasBegun            bool     // a VM is known to have begun a run of a task
 	placedTasks         int      // tasks on VMs, starting, running or stopping
 	homeZone            string   // zone that its tasks are confined to; empty for no restriction
