Refuse counts of queues by owners whose term is over

Callers saw a count in which the jobs that the next owner had accepted were missing: CountQueued was the only request that an owner answered after it had learned of its successor, until the entry dropped it.

Now it refuses with notReady, as State, Submit and Cancel do, and the gateway looks up the owner again.

The test failed before:

owner_test.go:249: the former owner counts 0 of 5 jobs (<nil>), want notReady

--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -155,7 +155,7 @@
 // Queued returns how many jobs of the queue have not started.
 func (gtw *Gateway) Queued(ctx context.Context, que queue.Queue) (int, error) {
 	rep, err := gtw.call(ctx, methodQueued, request{Pool: que.Pool, Queue: que.Name}, func(own *owner.Owner) (reply, error) {
-		return reply{Count: own.CountQueued(que.Name)}, nil
+		return countQueued(own, que.Name)
 	})
 	return rep.Count, err
 }
@@ -323,5 +323,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return reply{Count: own.CountQueued(req.Queue)}, nil
+	return countQueued(own, req.Queue)
+}
+
+func countQueued(own *owner.Owner, queue string) (reply, error) {
+	count, err := own.CountQueued(queue)
+	return reply{Count: count}, err
 }
--- a/internal/schedule/owner/owner_test.go
+++ b/internal/schedule/owner/owner_test.go
@@ -236,6 +236,33 @@
 	})
 }
 
+// A queue was shown as empty by an entry whose term was over: jobs that its successor had
+// accepted were missing.
+func TestEndedTermGivesNoCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fxt := newFixture(t, 0, logstore.Config{})
+		first := fxt.open()
+		second := fxt.open()
+		<-first.OwnershipLost()
+		fxt.submitAll(second, 5)
+		if count, err := first.CountQueued("passes"); fault.CodeOf(err) != code.NotReady {
+			t.Errorf("the former owner counts %d of 5 jobs (%v), want notReady", count, err)
+		}
+		if count, err := second.CountQueued("passes"); count != 5 || err != nil {
+			t.Errorf("the owner counts %d of 5 jobs (%v)", count, err)
+		}
+	})
+}
+
+func (fxt *fixture) submitAll(own *owner.Owner, jobs int) {
+	fxt.t.Helper()
+	for num := range jobs {
+		if err := fxt.submit(own, job(num, 1)); err != nil {
+			fxt.t.Fatal(err)
+		}
+	}
+}
+
 func TestTasksOfUnresponsiveVMWaitForLeaseExpiry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fxt := newFixture(t, 2, logstore.Config{})
--- a/internal/schedule/owner/requests.go
+++ b/internal/schedule/owner/requests.go
@@ -81,10 +81,13 @@
 }
 
 // CountQueued returns how many jobs of the queue have not started.
-func (own *Owner) CountQueued(queue string) int {
+func (own *Owner) CountQueued(queue string) (int, error) {
 	own.mu.Lock()
 	defer own.mu.Unlock()
-	return own.sch.CountQueued(queue)
+	if own.isEnding() {
+		return 0, fault.New(code.NotReady, "the pool changes its owner")
+	}
+	return own.sch.CountQueued(queue), nil
 }
 
 // Cancel cancels a job and returns when that is stored. It reports false when there
