--- a/internal/schedule/fleetcontroller/order.go
+++ b/internal/schedule/fleetcontroller/order.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 
 	"daisywheel/internal/fleet/directory"
+	"daisywheel/internal/kernel/boottime"
 	"daisywheel/internal/schedule/statelog"
 )
 
@@ -83,7 +83,7 @@
 // sendOrders stores the orders that are about to be sent and then sends them. The append
 // proves that this controller's term still lasts.
 func (ctl *Controller) sendOrders(now time.Time, ready []*operation) {
-	provenAt := sinceBoot()
+	provenAt := boottime.Now()
 	if err := ctl.storeOrders(ready); err != nil {
 		ctl.mu.Lock()
 		for _, opr := range ready {
@@ -153,16 +153,6 @@
 	return append(recs, rec), err
 }
 
-// sinceBoot returns the time since the machine booted. Unlike the monotonic clock of a
-// process, it includes the time for which the machine was suspended.
-func sinceBoot() time.Duration {
-	var spc unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &spc); err != nil {
-		return 0 // without this clock no proof of the term expires
-	}
-	return time.Duration(spc.Nano())
-}
-
 // sendOrder sends the order for one machine, unless the proof of the term, taken at
 // provenAt since boot, is older than maxProofAge.
 func (ctl *Controller) sendOrder(opr *operation, provenAt time.Duration) {
@@ -171,7 +161,7 @@
 	var out directory.OrderOutcome
 	var err error
 	switch {
-	case sinceBoot()-provenAt > maxProofAge:
+	case boottime.Now()-provenAt > maxProofAge:
 		out, err = directory.OrderThrottled, errors.New("last proof that the term lasts is too old")
 	case opr.wave > 0:
 		out, err = ctl.cfg.Directory.Maintain(ctx, opr.machine, opr.wave, ctl.cfg.Holder, ctl.clm.FencingToken())
