Give counts of queues only while the ownership is confirmed

Callers saw counts of any age: an owner that was paused, or whose machine the log rejected while others reached it, went on counting the jobs in its memory until it learned of its successor, up to 12 s later. Jobs that the successor had accepted were missing.

An owner could not tell how old its knowledge was. Now each check of the claim records when it was sent, on the clock that includes suspend. A count is given only if that was at most 1.5 s ago; if not, the owner checks at once, waits up to 0.2 s and refuses with notReady, so that the gateway looks up the owner. The checks that run each second keep counts free of calls in calm times. While the log is down for all, no owner gives counts: nobody can know then whether a successor exists, and a refusal with Retry-After beats a count of unknown age.

Each count and each refusal is a log line with the age of the confirmation.

The test failed before (a later owner had 7 open jobs):

TestUnconfirmedOwnerGivesNoCount/cut_off_from_the_log owner_test.go:295: the former owner counts 2 of 7 jobs (<nil>), want notReady TestUnconfirmedOwnerGivesNoCount/paused owner_test.go:295: the former owner counts 2 of 7 jobs (<nil>), want notReady

The pause of a machine itself is not tested: the tests' clock has no suspend.

--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -155,7 +155,7 @@
 // Queued returns how many jobs of the queue have not started.
 func (gtw *Gateway) Queued(ctx context.Context, que queue.Queue) (int, error) {
 	rep, err := gtw.call(ctx, methodQueued, request{Pool: que.Pool, Queue: que.Name}, func(own *owner.Owner) (reply, error) {
-		return countQueued(own, que.Name)
+		return countQueued(ctx, own, que.Name)
 	})
 	return rep.Count, err
 }
@@ -318,15 +318,15 @@
 	return reply{IsFound: found}, err
 }
 
-func (gtw *Gateway) serveQueued(_ context.Context, params json.RawMessage) (any, error) {
+func (gtw *Gateway) serveQueued(ctx context.Context, params json.RawMessage) (any, error) {
 	req, own, err := gtw.decodeAndFindOwner(params)
 	if err != nil {
 		return nil, err
 	}
-	return countQueued(own, req.Queue)
+	return countQueued(ctx, own, req.Queue)
 }
 
-func countQueued(own *owner.Owner, queue string) (reply, error) {
-	count, err := own.CountQueued(queue)
+func countQueued(ctx context.Context, own *owner.Owner, queue string) (reply, error) {
+	count, err := own.CountQueued(ctx, time.Now(), queue)
 	return reply{Count: count}, err
 }
--- a/internal/schedule/owner/loops.go
+++ b/internal/schedule/owner/loops.go
@@ -137,17 +137,18 @@
 func (own *Owner) claimLoop() {
 	for own.awaitClaimCheck() {
 		sent := time.Now()
+		cnf := newConfirmation(sent)
 		isNewest, err := claim.IsNewest(context.Background(), own.cfg.StateLog, own.cfg.Pool, own.fencingToken)
-		switch {
-		case err != nil:
-			continue // appendLoop and the group membership log the outage
-		case !isNewest:
+		if err == nil && !isNewest {
 			own.loseOwnership(time.Now(), "a later owner has claimed the pool")
 			return
 		}
 		own.mu.Lock()
-		own.sch.ConfirmOwnership(sent)
-		own.requestPlan()
+		own.endClaimCheck(time.Now(), cnf, err == nil)
+		if err == nil { // appendLoop and the group membership log an outage
+			own.sch.ConfirmOwnership(sent)
+			own.requestPlan()
+		}
 		own.mu.Unlock()
 	}
 }
@@ -169,9 +170,12 @@
 // requestClaimCheckIfUnconfirmed requests an immediate check of the claim if tasks
 // wait for one. The caller holds the lock.
 func (own *Owner) requestClaimCheckIfUnconfirmed() {
-	if !own.sch.NeedsConfirmation() {
-		return
+	if own.sch.NeedsConfirmation() {
+		own.requestClaimCheck()
 	}
+}
+
+func (own *Owner) requestClaimCheck() {
 	select {
 	case own.claimCheckRequested <- struct{}{}:
 	default:
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -78,6 +78,7 @@
 	planRequested       chan struct{}
 	flushRequested      chan struct{}
 	claimCheckRequested chan struct{}
+	confirmed           confirmation
 	quit                chan struct{}
 	lost                chan struct{}
 	closeOnce           sync.Once
@@ -96,13 +97,14 @@
 // Open claims the pool and restores its jobs. It fails if the state log is
 // unreachable or another owner claims the pool meanwhile.
 func Open(ctx context.Context, now time.Time, cfg Config) (*Owner, error) {
+	cnf := newConfirmation(now)
 	clm, err := claim.Acquire(ctx, cfg.StateLog, cfg.Pool, cfg.Address)
 	if err != nil {
 		return nil, err
 	}
 	own := &Owner{
 		cfg: cfg, fencingToken: clm.FencingToken(), polled: map[string]bool{}, pending: map[string]*submission{}, refusals: refusal.New(),
-		planRequested: make(chan struct{}, 1), flushRequested: make(chan struct{}, 1), claimCheckRequested: make(chan struct{}, 1),
+		planRequested: make(chan struct{}, 1), flushRequested: make(chan struct{}, 1), claimCheckRequested: make(chan struct{}, 1), confirmed: cnf,
 		quit: make(chan struct{}), lost: make(chan struct{}), done: make(chan struct{}),
 	}
 	own.appendTime = cfg.Metrics.GetOrCreateHistogram(`daisywheel_append_seconds{pool="` + cfg.Pool + `"}`)
--- a/internal/schedule/owner/owner_test.go
+++ b/internal/schedule/owner/owner_test.go
@@ -245,15 +245,86 @@
 		second := fxt.open()
 		<-first.OwnershipLost()
 		fxt.submitAll(second, 5)
-		if count, err := first.CountQueued("passes"); fault.CodeOf(err) != code.NotReady {
+		if count, err := first.CountQueued(t.Context(), time.Now(), "passes"); fault.CodeOf(err) != code.NotReady {
 			t.Errorf("the former owner counts %d of 5 jobs (%v), want notReady", count, err)
 		}
-		if count, err := second.CountQueued("passes"); count != 5 || err != nil {
+		if count, err := second.CountQueued(t.Context(), time.Now(), "passes"); count != 5 || err != nil {
 			t.Errorf("the owner counts %d of 5 jobs (%v)", count, err)
 		}
 	})
 }
 
+// cutLog returns a client of the log whose reads fail while isCut is set.
+func (fxt *fixture) cutLog(isCut *atomic.Bool) statelog.Client {
+	log := fxt.store.Client()
+	lookup := log.Lookup
+	log.Lookup = func(ctx context.Context, topic string, part int, key string) (statelog.Record, bool, error) {
+		if isCut.Load() {
+			<-ctx.Done()
+			return statelog.Record{}, false, ctx.Err()
+		}
+		return lookup(ctx, topic, part, key)
+	}
+	return log
+}
+
+// An entry that was paused or cut off from the log gave counts in which the jobs that a
+// later owner had accepted were missing.
+func TestUnconfirmedOwnerGivesNoCount(t *testing.T) {
+	for name, isPaused := range map[string]bool{"cut off from the log": false, "paused": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkNoCountOfFormerOwner(t, isPaused) })
+		})
+	}
+}
+
+func checkNoCountOfFormerOwner(t *testing.T, isPaused bool) {
+	fxt := newFixture(t, 0, logstore.Config{})
+	var isCut atomic.Bool
+	first := fxt.openWith(fxt.cutLog(&isCut), fxt.fleet.Agent())
+	fxt.submitAll(first, 2)
+	time.Sleep(time.Second)
+	isCut.Store(true)
+	time.Sleep(2 * time.Second)
+	second := fxt.open()
+	fxt.submitAll(second, 7)
+	time.Sleep(2 * time.Second)
+	isCut.Store(!isPaused)
+	for range 20 {
+		if count, err := first.CountQueued(t.Context(), time.Now(), "passes"); fault.CodeOf(err) != code.NotReady {
+			t.Fatalf("the former owner counts %d of 7 jobs (%v), want notReady", count, err)
+		}
+		time.Sleep(70 * time.Millisecond)
+	}
+}
+
+// Counts must not need the log's answer to each request, and come back with the log.
+func TestOwnerCountsThroughLossOfOneRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fxt := newFixture(t, 0, logstore.Config{})
+		var isCut atomic.Bool
+		own := fxt.openWith(fxt.cutLog(&isCut), fxt.fleet.Agent())
+		fxt.submitAll(own, 3)
+		check := func(when string) {
+			t.Helper()
+			if count, err := own.CountQueued(t.Context(), time.Now(), "passes"); count != 3 || err != nil {
+				t.Errorf("%s: %d jobs (%v), want 3", when, count, err)
+			}
+		}
+		for range 30 {
+			check("in calm")
+			time.Sleep(170 * time.Millisecond)
+		}
+		isCut.Store(true)
+		time.Sleep(450 * time.Millisecond)
+		check("after a loss of the log that is shorter than the interval of the checks")
+		time.Sleep(10 * time.Second)
+		isCut.Store(false)
+		time.Sleep(1900 * time.Millisecond) // the read in flight times out, the next one follows
+		check("after the loss")
+	})
+}
+
 func (fxt *fixture) submitAll(own *owner.Owner, jobs int) {
 	fxt.t.Helper()
 	for num := range jobs {
--- a/internal/schedule/owner/requests.go
+++ b/internal/schedule/owner/requests.go
@@ -80,16 +80,6 @@
 	return ste, ok, nil
 }
 
-// CountQueued returns how many jobs of the queue have not started.
-func (own *Owner) CountQueued(queue string) (int, error) {
-	own.mu.Lock()
-	defer own.mu.Unlock()
-	if own.isEnding() {
-		return 0, fault.New(code.NotReady, "the pool changes its owner")
-	}
-	return own.sch.CountQueued(queue), nil
-}
-
 // Cancel cancels a job and returns when that is stored. It reports false when there
 // is no such job.
 func (own *Owner) Cancel(ctx context.Context, now time.Time, id string) (found bool, err error) {
