Store jobs again after the only append was refused

Callers of a pool without other changes to store were refused for good (logUnavailable, 503) after the log had refused one append of their jobs: the refused jobs left nothing to retry, and submissions were refused at once since the last failed append, so no append was ever tried again.

Submissions are now refused at once only while records are left for another append. Otherwise the next submission is tried, which shows whether the log is back.

--- a/internal/schedule/owner/append.go
+++ b/internal/schedule/owner/append.go
@@ -93,6 +93,9 @@
 	for _, id := range own.sch.DropEndedJobs(now) {
 		bat.records = append(bat.records, statelog.Record{Key: progressKey(own.cfg.Pool, id)})
 	}
+	if len(bat.records) == 0 {
+		own.isRetrying = false
+	}
 	return bat, len(own.queued) > 0
 }
 
@@ -166,6 +169,7 @@
 func (own *Owner) trackLog(now, sent time.Time, err error) {
 	own.mu.Lock()
 	wasAvailable := own.stalledSince.IsZero()
+	own.isRetrying = err != nil
 	if err == nil {
 		own.stalledSince = time.Time{}
 	} else if wasAvailable {
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -72,9 +72,12 @@
 	refusals     *refusal.Refusals
 	waiters      []chan struct{} // each is closed when the next batch is stored
 	// appendTime and orderTime are histograms of call durations in seconds.
-	appendTime          *metrics.Histogram
-	orderTime           *metrics.Histogram
-	stalledSince        time.Time // when the first failed attempt of the current append was sent; zero if none failed
+	appendTime   *metrics.Histogram
+	orderTime    *metrics.Histogram
+	stalledSince time.Time // when the first failed attempt of the current append was sent; zero if none failed
+	// isRetrying is set after a failed append while records are left for another. Without
+	// any, only a new submission can show that the log is back.
+	isRetrying          bool
 	planRequested       chan struct{}
 	flushRequested      chan struct{}
 	claimCheckRequested chan struct{}
--- a/internal/schedule/owner/owner_test.go
+++ b/internal/schedule/owner/owner_test.go
@@ -212,6 +212,31 @@
 	})
 }
 
+// The log refused one append of a pool without running tasks. Its owner then refused all jobs
+// for good, as it took the log to be down until another append succeeded.
+func TestJobsAreStoredAfterOneRefusedAppend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var isDown atomic.Bool
+		fxt := newFixture(t, 1, logstore.Config{Fault: func(statelog.AppendRequest) logstore.Fault {
+			if isDown.Load() {
+				return logstore.Down
+			}
+			return logstore.None
+		}})
+		own := fxt.open()
+		time.Sleep(time.Second)
+		isDown.Store(true)
+		if err := fxt.submit(own, job(1, 1)); fault.CodeOf(err) != code.LogUnavailable {
+			t.Errorf("submit while the state log refuses appends: %v, want logUnavailable", err)
+		}
+		isDown.Store(false)
+		time.Sleep(5 * time.Second)
+		if err := fxt.submit(own, job(2, 1)); err != nil {
+			t.Errorf("submit 5 s after the only refused append: %v", err)
+		}
+	})
+}
+
 func TestNewOwnerFencesPreviousOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fxt := newFixture(t, 3, logstore.Config{})
--- a/internal/schedule/owner/requests.go
+++ b/internal/schedule/owner/requests.go
@@ -24,7 +24,7 @@
 			own.mu.Unlock()
 			return fault.New(code.NotReady, "the pool changes its owner")
 		}
-		if !own.stalledSince.IsZero() && now.Sub(own.stalledSince) > stallLimit {
+		if own.isRetrying && now.Sub(own.stalledSince) > stallLimit {
 			wait := own.refusals.Add(now, pln)
 			own.mu.Unlock()
 			return fault.NewRetryAfter(wait, code.LogUnavailable, "nothing can be stored since %s", now.Sub(own.stalledSince).Round(time.Millisecond))
