--- a/internal/schedule/owner/requests.go
+++ b/internal/schedule/owner/requests.go
@@ -24,7 +24,7 @@
 			own.mu.Unlock()
 			return fault.New(code.NotReady, "the pool changes its owner")
 		}
-		if !own.stalledSince.IsZero() && now.Sub(own.stalledSince) > stallLimit {
+		if own.isRetrying && now.Sub(own.stalledSince) > stallLimit {
 			wait := own.refusals.Add(now, pln)
 			own.mu.Unlock()
 			return fault.NewRetryAfter(wait, code.LogUnavailable, "nothing can be stored since %s", now.Sub(own.stalledSince).Round(time.Millisecond))
@@ -80,13 +80,6 @@
 	return ste, ok, nil
 }
 
-// CountQueued returns how many jobs of the queue have not started.
-func (own *Owner) CountQueued(queue string) int {
-	own.mu.Lock()
-	defer own.mu.Unlock()
-	return own.sch.CountQueued(queue)
-}
-
 // Cancel cancels a job and returns when that is stored. It reports false when there
 // is no such job.
 func (own *Owner) Cancel(ctx context.Context, now time.Time, id string) (found bool, err error) {
