Report a wave as completed only without machines that are gone for good

Callers saw (MIXED, the form of waves): a wave said to be completed while a machine of it that stays had not begun its maintenance. Cause: a machine that the last list lacked counted as gone.

Change: a machine is gone only when at least three consecutive lists requested after the wave became known lack it, the first and the last 4 s apart. TestWaveWithMachineThatIsGoneIsCompleted bounds the delay and the lists. A machine that is missing from all lists for longer still counts as gone.

--- a/internal/schedule/fleetcontroller/fleetcontroller_test.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller_test.go
@@ -50,6 +50,17 @@
 	outcomeOf func(machine string) directory.OrderOutcome
 	// listDelay is the time between the reading of a list and its delivery.
 	listDelay time.Duration
+	// isHidden, if set, tells which machines a list leaves out.
+	isHidden func(machine string) bool
+	lists    int // number of lists read
+	reports  []waveReport
+}
+
+// waveReport is one report on a wave that the operator received.
+type waveReport struct {
+	at          time.Time
+	number      int64
+	isCompleted bool
 }
 
 const downtime = 1500 * time.Millisecond
@@ -72,8 +83,12 @@
 	defer time.Sleep(plt.listDelay)
 	plt.mu.Lock()
 	defer plt.mu.Unlock()
+	plt.lists++
 	var all []directory.Machine
 	for name, pool := range plt.pools {
+		if plt.isHidden != nil && plt.isHidden(name) {
+			continue
+		}
 		mac := directory.Machine{Name: name, Pool: pool, MilliCores: 16000}
 		if mac.IsUp = !time.Now().Before(plt.upAt[name]); mac.IsUp {
 			mac.VM = plt.vm(name)
@@ -115,8 +130,33 @@
 			}
 			return out, nil
 		},
-		ReportWave: func(context.Context, int64, bool) error { return nil },
+		ReportWave: func(_ context.Context, number int64, isCompleted bool) error {
+			plt.mu.Lock()
+			defer plt.mu.Unlock()
+			plt.reports = append(plt.reports, waveReport{time.Now(), number, isCompleted})
+			return nil
+		},
+	}
+}
+
+// completedAt returns when a wave was first reported as completed, or the zero time.
+func (plt *fakePlatform) completedAt(number int64) time.Time {
+	for _, rpt := range plt.reports {
+		if rpt.number == number && rpt.isCompleted {
+			return rpt.at
+		}
+	}
+	return time.Time{}
+}
+
+// firstOrderAt returns when a machine was first ordered, or the zero time.
+func (plt *fakePlatform) firstOrderAt(machine string) time.Time {
+	for _, ord := range plt.orders {
+		if ord.machine == machine {
+			return ord.at
+		}
 	}
+	return time.Time{}
 }
 
 func taskCount(isBusy bool) int {
@@ -544,3 +584,56 @@
 		}
 	})
 }
+
+// A wave was reported as completed although the maintenance of a machine had not begun: the
+// machine had joined after the last list, or a list read in pages had left it out.
+func TestWaveWithMachineMissingFromListIsNotCompleted(t *testing.T) {
+	for _, tst := range []struct {
+		name             string
+		named            []string
+		hiddenFor, delay time.Duration
+	}{
+		{"joins after the list", []string{"haul-7"}, 1100 * time.Millisecond, 0},
+		{"joins while a list is under way", []string{"haul-7"}, 1500 * time.Millisecond, 900 * time.Millisecond},
+		{"others are done", []string{"gate-0", "haul-7"}, 3500 * time.Millisecond, 0},
+		{"lists lag", []string{"gate-0", "haul-7"}, 3900 * time.Millisecond, 300 * time.Millisecond},
+	} {
+		t.Run(tst.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log, plt, began := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul"), time.Now()
+				plt.listDelay = tst.delay
+				plt.isHidden = func(machine string) bool { return machine == "haul-7" && time.Since(began) < tst.hiddenFor }
+				ctl := openController(t, log, plt, "first")
+				plt.runFor(ctl, 0, time.Second)
+				ctl.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: tst.named, Cap: 2, Within: time.Minute})
+				plt.runFor(ctl, 0, 15*time.Second)
+				ctl.Close()
+				ordered, completed := plt.firstOrderAt("haul-7"), plt.completedAt(1)
+				if ordered.IsZero() || completed.Before(ordered) {
+					t.Errorf("wave reported as completed after %s, maintenance of haul-7 begun after %s", completed.Sub(began), ordered.Sub(began))
+				}
+			})
+		})
+	}
+}
+
+// A wave must also end without a machine that is gone for good, and soon, with few lists.
+func TestWaveWithMachineThatIsGoneIsCompleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
+		delete(plt.pools, "haul-7")
+		ctl := openController(t, log, plt, "first")
+		plt.runFor(ctl, 0, 10*time.Second)
+		lists := plt.lists
+		ctl.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: []string{"haul-7"}, Cap: 2, Within: time.Minute})
+		plt.runFor(ctl, 0, 5*time.Second)
+		if plt.completedAt(1).IsZero() {
+			t.Error("the wave is not completed 5 s after it was requested")
+		}
+		plt.runFor(ctl, 0, 30*time.Second)
+		ctl.Close()
+		if count := plt.lists - lists; count > 22 {
+			t.Errorf("%d lists in 35 s, want one each 3 s once the wave is completed", count)
+		}
+	})
+}
--- a/internal/schedule/fleetcontroller/machines.go
+++ b/internal/schedule/fleetcontroller/machines.go
@@ -36,10 +36,11 @@
 const listsToConfirmEnd = 2
 
 // refreshMachines reads the machine list when it is due: every listInterval while
-// operations are in progress or VMs are missing, and every idleListInterval otherwise.
+// operations are in progress, VMs are missing or a wave waits for machines that are not
+// listed, and every idleListInterval otherwise.
 func (ctl *Controller) refreshMachines(now time.Time) {
 	ctl.mu.Lock()
-	isDue := now.Sub(ctl.listedAt) >= listInterval && (len(ctl.operations) > 0 || len(ctl.machines) == 0 || ctl.isAnyVMMissing()) ||
+	isDue := now.Sub(ctl.listedAt) >= listInterval && (len(ctl.operations) > 0 || len(ctl.machines) == 0 || ctl.isAnyVMMissing() || ctl.isAnyWaveHeldUp()) ||
 		now.Sub(ctl.listedAt) >= idleListInterval
 	ctl.mu.Unlock()
 	if !isDue {
@@ -60,6 +61,7 @@
 		ctl.machines[mac.Name] = mac
 	}
 	ctl.countMissingVMs()
+	ctl.countAbsences(now)
 	ctl.completeOperations(time.Now(), now)
 }
 
--- a/internal/schedule/fleetcontroller/wave.go
+++ b/internal/schedule/fleetcontroller/wave.go
@@ -13,11 +13,32 @@
 type wave struct {
 	request     maintenance.Wave
 	isRequested bool                 // the operator's request is known
+	requestedAt time.Time            // when the request became known
+	absences    map[string]absence   // machines that the last lists since requestedAt lack
 	done        map[string]bool      // machines whose order was carried out
 	retryAt     map[string]time.Time // when a machine whose evacuation or order failed is tried again
 	reported    waveState
 }
 
+// absence is a sequence of consecutive lists that lack a machine.
+type absence struct {
+	lists       int
+	first, last time.Time // when the first and the last of them were requested
+}
+
+// A machine is gone for good when listsToConfirmGone consecutive lists lack it, the first
+// and the last of them at least goneAfter apart. One list is not enough: it may lag behind the
+// platform, and one that is read in pages may skip a machine that moves meanwhile. Machines
+// that a platform loses sight of are back within 2 s; goneAfter is twice that.
+const (
+	listsToConfirmGone = 3
+	goneAfter          = 4 * time.Second
+)
+
+func (abs absence) isGone() bool {
+	return abs.lists >= listsToConfirmGone && abs.last.Sub(abs.first) >= goneAfter
+}
+
 type waveState int
 
 const (
@@ -38,7 +59,7 @@
 
 func (ctl *Controller) addWave(now time.Time, req maintenance.Wave) {
 	wav := ctl.waveOf(req.Number)
-	wav.request, wav.isRequested = req, true
+	wav.request, wav.isRequested, wav.requestedAt, wav.absences = req, true, now, map[string]absence{}
 	ctl.cfg.Journal.Event(now, "waveAsked", slog.Int64("wave", req.Number), slog.Int("machines", len(req.Machines)),
 		slog.Int("cap", req.Cap), slog.Duration("within", req.Within))
 }
@@ -190,16 +211,62 @@
 	state  waveState
 }
 
-// isCompleted reports whether the maintenance order of every machine of the wave that is
-// still listed was carried out.
+// isCompleted reports whether the maintenance order of every machine of the wave was carried
+// out, except for those that are gone for good.
 func (ctl *Controller) isCompleted(wav *wave) bool {
+	due, missing := ctl.countUndone(wav)
+	return len(ctl.machines) > 0 && due == 0 && missing == 0
+}
+
+// countUndone returns how many machines of the wave whose order was not carried out yet are
+// listed, and how many are not listed but may not be gone either.
+func (ctl *Controller) countUndone(wav *wave) (due, missing int) {
+	for _, name := range wav.request.Machines {
+		_, isListed := ctl.machines[name]
+		switch {
+		case wav.done[name]:
+		case isListed:
+			due++
+		case !wav.absences[name].isGone():
+			missing++
+		}
+	}
+	return due, missing
+}
+
+// countAbsences counts, for each machine of the waves, the consecutive lists without it. The
+// last list was requested at requestedAt. Lists requested before a wave became known say
+// nothing about it, as its machines may have joined since.
+func (ctl *Controller) countAbsences(requestedAt time.Time) {
 	if len(ctl.machines) == 0 {
-		return false
+		return
 	}
-	for _, name := range wav.request.Machines {
-		if _, ok := ctl.machines[name]; ok && !wav.done[name] {
-			return false
+	for _, wav := range ctl.waves {
+		if !requestedAt.After(wav.requestedAt) {
+			continue
+		}
+		for _, name := range wav.request.Machines {
+			if _, ok := ctl.machines[name]; ok {
+				delete(wav.absences, name)
+				continue
+			}
+			abs := wav.absences[name]
+			if abs.lists == 0 {
+				abs.first = requestedAt
+			}
+			abs.lists, abs.last = abs.lists+1, requestedAt
+			wav.absences[name] = abs
 		}
 	}
-	return true
+}
+
+// isAnyWaveHeldUp reports whether a wave is completed except that machines are not listed,
+// which may be gone.
+func (ctl *Controller) isAnyWaveHeldUp() bool {
+	for _, wav := range ctl.waves {
+		if due, missing := ctl.countUndone(wav); wav.reported != completed && due == 0 && missing > 0 {
+			return true
+		}
+	}
+	return false
 }
