Follow a wave that is requested again with other machines

What callers would see (MIXED, the form of waves): a wave said to be completed while a machine of it had not begun its maintenance, and never would in that term. Cause: the running fleet controller ignored a later record of a wave that it knew, with other machines, cap or time; a controller of a later term took the new one. Change: a record that differs replaces the request. What was done stays done; the state that was reported and the machines that were gone belong to the old request, so a report of it that is under way doesn't count for the new one.

--- a/internal/fleet/maintenance/maintenance.go
+++ b/internal/fleet/maintenance/maintenance.go
@@ -16,6 +16,11 @@
 	Cap      int
 }
 
+// Equal reports whether both ask for the same.
+func (wav Wave) Equal(other Wave) bool {
+	return wav.Number == other.Number && slices.Equal(wav.Machines, other.Machines) && wav.Within == other.Within && wav.Cap == other.Cap
+}
+
 // Candidate is a machine of a wave that has not been maintained yet.
 type Candidate struct {
 	Machine     string
--- a/internal/schedule/fleetcontroller/fleetcontroller.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller.go
@@ -243,12 +243,12 @@
 	}
 }
 
-// RequestWave adds a maintenance wave that the operator requests. A wave that is already known
-// is ignored.
+// RequestWave adds a maintenance wave that the operator requests. A repeated request is
+// ignored; one that differs replaces the earlier one.
 func (ctl *Controller) RequestWave(now time.Time, wav maintenance.Wave) {
 	ctl.mu.Lock()
 	defer ctl.mu.Unlock()
-	if ctl.waves[wav.Number] != nil && ctl.waves[wav.Number].isRequested {
+	if old := ctl.waves[wav.Number]; old != nil && old.isRequested && old.request.Equal(wav) {
 		return
 	}
 	ctl.addWave(now, wav)
--- a/internal/schedule/fleetcontroller/fleetcontroller_test.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller_test.go
@@ -637,3 +637,32 @@
 		}
 	})
 }
+
+// The operator requested a wave again with another machine, and the running controller kept to
+// the first request: it reported the wave as completed without that machine.
+func TestWaveRequestedAgainWithOtherMachines(t *testing.T) {
+	for after := 200 * time.Millisecond; after <= 4*time.Second; after += 200 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
+			ctl := openController(t, log, plt, "first")
+			ctl.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: []string{"gate-0"}, Cap: 1, Within: time.Minute})
+			plt.runFor(ctl, 0, after)
+			again := time.Now()
+			for range 2 { // a repetition of the same request changes nothing
+				ctl.RequestWave(again, maintenance.Wave{Number: 1, Machines: []string{"gate-0", "haul-7"}, Cap: 2, Within: time.Minute})
+				plt.runFor(ctl, 0, 6*time.Second)
+			}
+			ctl.Close()
+			ordered := plt.firstOrderAt("haul-7")
+			last := plt.reports[len(plt.reports)-1]
+			if ordered.IsZero() || !last.isCompleted || last.at.Before(ordered) || len(plt.orders) != 2 || len(plt.reports) > 4 {
+				t.Errorf("requested again after %s: orders %v, reports %v", after, plt.orders, plt.reports)
+			}
+			for _, rpt := range plt.reports {
+				if rpt.isCompleted && rpt.at.After(again) && rpt.at.Before(ordered) {
+					t.Errorf("requested again after %s: reported as completed before haul-7 was ordered", after)
+				}
+			}
+		})
+	}
+}
--- a/internal/schedule/fleetcontroller/wave.go
+++ b/internal/schedule/fleetcontroller/wave.go
@@ -9,7 +9,7 @@
 	"daisywheel/internal/fleet/maintenance"
 )
 
-// wave is a maintenance wave and its progress.
+// wave is a maintenance wave and its progress. A changed request makes it a new wave.
 type wave struct {
 	request     maintenance.Wave
 	isRequested bool                 // the operator's request is known
@@ -57,9 +57,13 @@
 	return wav
 }
 
+// addWave adds a wave, or replaces the request of one that is known. What was done stays done,
+// but the state that was reported and the machines that were gone belong to the old request.
 func (ctl *Controller) addWave(now time.Time, req maintenance.Wave) {
-	wav := ctl.waveOf(req.Number)
-	wav.request, wav.isRequested, wav.requestedAt, wav.absences = req, true, now, map[string]absence{}
+	old := ctl.waveOf(req.Number)
+	ctl.waves[req.Number] = &wave{
+		request: req, isRequested: true, requestedAt: now, absences: map[string]absence{}, done: old.done, retryAt: old.retryAt,
+	}
 	ctl.cfg.Journal.Event(now, "waveAsked", slog.Int64("wave", req.Number), slog.Int("machines", len(req.Machines)),
 		slog.Int("cap", req.Cap), slog.Duration("within", req.Within))
 }
@@ -187,7 +191,7 @@
 			want = completed
 		}
 		if wav.reported < want {
-			due = append(due, waveReport{number, want})
+			due = append(due, waveReport{wav, number, want})
 		}
 	}
 	ctl.mu.Unlock()
@@ -200,13 +204,14 @@
 			continue
 		}
 		ctl.mu.Lock()
-		ctl.waves[rpt.number].reported = rpt.state
+		rpt.wave.reported = rpt.state
 		ctl.mu.Unlock()
 		ctl.cfg.Journal.Event(now, "waveReported", slog.Int64("wave", rpt.number), slog.Bool("completed", rpt.state == completed))
 	}
 }
 
 type waveReport struct {
+	wave   *wave
 	number int64
 	state  waveState
 }
