Let only the present fleet controller report waves

Cause: reports on waves were written without a proof of the term. A controller that was cut off or suspended and replaced wrote before it detected that, within a second. Change: before the reports of a round the controller reads that its claim is the newest, decides each report after that, and sends it only within maxProofAge, as with orders. It costs a read where there is something to report, two a wave. A report that the log carries out seconds later is not covered.

--- a/internal/schedule/fleetcontroller/fleetcontroller.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller.go
@@ -47,7 +47,7 @@
 	// that it was replaced.
 	claimCheckInterval = time.Second
 	// maxProofAge is the longest time between the proof that this controller's term
-	// still lasts and an order that relies on it.
+	// still lasts and an order, or a report on a wave, that relies on it.
 	maxProofAge = time.Second
 	// orderRetryDelay is the delay before an order without a reply is repeated. A
 	// repetition is harmless: the platform reports an order that it has carried out as
@@ -174,12 +174,16 @@
 }
 
 // checkClaim checks whether another entry has claimed the fleet.
-func (ctl *Controller) checkClaim(now time.Time) {
+func (ctl *Controller) checkClaim(now time.Time) { ctl.provesTerm(now) }
+
+// provesTerm reports whether the log shows that no other entry has claimed the fleet.
+func (ctl *Controller) provesTerm(now time.Time) bool {
 	isNewest, err := claim.IsNewest(context.Background(), ctl.cfg.StateLog, ClaimName, ctl.clm.FencingToken())
 	if err == nil && !isNewest {
 		ctl.setLost(now, "fleet claimed by a later fleet controller")
 	}
 	// An unavailable log is not reported here: the membership logs it.
+	return err == nil && isNewest
 }
 
 func (ctl *Controller) setLost(now time.Time, reason string) {
--- a/internal/schedule/fleetcontroller/fleetcontroller_test.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -140,9 +141,11 @@
 }
 
 // completedAt returns when a wave was first reported as completed, or the zero time.
-func (plt *fakePlatform) completedAt(number int64) time.Time {
+func (plt *fakePlatform) completedAt() time.Time {
+	plt.mu.Lock()
+	defer plt.mu.Unlock()
 	for _, rpt := range plt.reports {
-		if rpt.number == number && rpt.isCompleted {
+		if rpt.isCompleted {
 			return rpt.at
 		}
 	}
@@ -201,10 +204,15 @@
 }
 
 func openControllerWithRate(t *testing.T, log *logstore.Store, plt *fakePlatform, name string, rate float64) *fleetcontroller.Controller {
+	t.Helper()
+	return openControllerWithDirectory(t, log, plt.directory(), name, rate)
+}
+
+func openControllerWithDirectory(t *testing.T, log *logstore.Store, dir directory.Client, name string, rate float64) *fleetcontroller.Controller {
 	t.Helper()
 	tab := queue.NewTable(1, nil, []queue.Pool{{Name: "gate"}, {Name: "haul"}})
 	ctl, err := fleetcontroller.Open(t.Context(), time.Now(), fleetcontroller.Config{
-		Holder: name, Address: name, OrderLease: orderLease, OrderRate: rate, StateLog: log.Client(), Directory: plt.directory(),
+		Holder: name, Address: name, OrderLease: orderLease, OrderRate: rate, StateLog: log.Client(), Directory: dir,
 		Journal: journal.New(journal.Config{}), Table: func() *queue.Table { return tab },
 	})
 	if err != nil {
@@ -294,6 +302,12 @@
 	}
 }
 
+func (plt *fakePlatform) listCount() int {
+	plt.mu.Lock()
+	defer plt.mu.Unlock()
+	return plt.lists
+}
+
 func (plt *fakePlatform) names() []string {
 	var all []string
 	for name := range plt.pools {
@@ -608,7 +622,7 @@
 				ctl.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: tst.named, Cap: 2, Within: time.Minute})
 				plt.runFor(ctl, 0, 15*time.Second)
 				ctl.Close()
-				ordered, completed := plt.firstOrderAt("haul-7"), plt.completedAt(1)
+				ordered, completed := plt.firstOrderAt("haul-7"), plt.completedAt()
 				if ordered.IsZero() || completed.Before(ordered) {
 					t.Errorf("wave reported as completed after %s, maintenance of haul-7 begun after %s", completed.Sub(began), ordered.Sub(began))
 				}
@@ -624,15 +638,15 @@
 		delete(plt.pools, "haul-7")
 		ctl := openController(t, log, plt, "first")
 		plt.runFor(ctl, 0, 10*time.Second)
-		lists := plt.lists
+		lists := plt.listCount()
 		ctl.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: []string{"haul-7"}, Cap: 2, Within: time.Minute})
 		plt.runFor(ctl, 0, 5*time.Second)
-		if plt.completedAt(1).IsZero() {
+		if plt.completedAt().IsZero() {
 			t.Error("the wave is not completed 5 s after it was requested")
 		}
 		plt.runFor(ctl, 0, 30*time.Second)
 		ctl.Close()
-		if count := plt.lists - lists; count > 22 {
+		if count := plt.listCount() - lists; count > 22 {
 			t.Errorf("%d lists in 35 s, want one each 3 s once the wave is completed", count)
 		}
 	})
@@ -666,3 +680,38 @@
 		})
 	}
 }
+
+// A controller that was cut off and replaced knew an earlier request of a wave than its
+// successor. When it was no longer cut off it reported the wave as completed.
+func TestReplacedControllerReportsNoWave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
+		dir := plt.directory()
+		var isCut atomic.Bool
+		isCut.Store(true)
+		report := dir.ReportWave
+		dir.ReportWave = func(ctx context.Context, number int64, isCompleted bool) error {
+			if isCut.Load() {
+				return statelog.ErrNotAppended
+			}
+			return report(ctx, number, isCompleted)
+		}
+		first := openControllerWithDirectory(t, log, dir, "first", orderRate)
+		first.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: []string{"gate-0"}, Cap: 1, Within: time.Minute})
+		plt.runFor(first, 0, 3*time.Second)
+		second := openController(t, log, plt, "second")
+		second.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: []string{"gate-0", "haul-7"}, Cap: 1, Within: time.Minute})
+		isCut.Store(false)
+		time.Sleep(2 * time.Second) // the second controller orders nothing, as it has no reports
+		early := plt.completedAt()
+		plt.runFor(second, 0, 10*time.Second)
+		first.Close()
+		second.Close()
+		if !early.IsZero() {
+			t.Error("the replaced controller reported the wave as completed")
+		}
+		if plt.completedAt().IsZero() {
+			t.Error("the wave was never reported as completed")
+		}
+	})
+}
--- a/internal/schedule/fleetcontroller/wave.go
+++ b/internal/schedule/fleetcontroller/wave.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"daisywheel/internal/fleet/balance"
@@ -178,42 +180,57 @@
 	return count
 }
 
-// reportWaves reports the state of the waves to the operator when it has changed.
+// reportWaves reports the state of the waves to the operator when it has changed. A controller
+// that was replaced may know an old request or list, so the term is proved before.
 func (ctl *Controller) reportWaves(now time.Time) {
-	ctl.mu.Lock()
-	var due []waveReport
-	for number, wav := range ctl.waves {
-		if !wav.isRequested {
+	provenAt, due := sinceBoot(), ctl.wavesToReport()
+	if len(due) == 0 || !ctl.provesTerm(now) {
+		return
+	}
+	for _, number := range due {
+		rpt, isDue := ctl.dueReport(number) // meanwhile the request may have changed
+		if !isDue || sinceBoot()-provenAt > maxProofAge {
 			continue
 		}
-		want := inProgress
-		if ctl.isCompleted(wav) {
-			want = completed
-		}
-		if wav.reported < want {
-			due = append(due, waveReport{wav, number, want})
-		}
-	}
-	ctl.mu.Unlock()
-	for _, rpt := range due {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-		err := ctl.cfg.Directory.ReportWave(ctx, rpt.number, rpt.state == completed)
+		err := ctl.cfg.Directory.ReportWave(ctx, number, rpt.state == completed)
 		cancel()
 		if err != nil {
-			ctl.cfg.Journal.Warn(now, "waveUnreported", slog.Int64("wave", rpt.number), slog.String("error", err.Error()))
+			ctl.cfg.Journal.Warn(now, "waveUnreported", slog.Int64("wave", number), slog.String("error", err.Error()))
 			continue
 		}
 		ctl.mu.Lock()
 		rpt.wave.reported = rpt.state
 		ctl.mu.Unlock()
-		ctl.cfg.Journal.Event(now, "waveReported", slog.Int64("wave", rpt.number), slog.Bool("completed", rpt.state == completed))
+		ctl.cfg.Journal.Event(now, "waveReported", slog.Int64("wave", number), slog.Bool("completed", rpt.state == completed))
 	}
 }
 
 type waveReport struct {
-	wave   *wave
-	number int64
-	state  waveState
+	wave  *wave
+	state waveState
+}
+
+// wavesToReport returns the numbers of the waves whose state has to be reported.
+func (ctl *Controller) wavesToReport() []int64 {
+	ctl.mu.Lock()
+	numbers := slices.Collect(maps.Keys(ctl.waves))
+	ctl.mu.Unlock()
+	return slices.DeleteFunc(numbers, func(number int64) bool {
+		_, isDue := ctl.dueReport(number)
+		return !isDue
+	})
+}
+
+// dueReport returns the present state of a wave, and whether it has to be reported.
+func (ctl *Controller) dueReport(number int64) (waveReport, bool) {
+	ctl.mu.Lock()
+	defer ctl.mu.Unlock()
+	rpt := waveReport{ctl.waves[number], inProgress}
+	if ctl.isCompleted(rpt.wave) {
+		rpt.state = completed
+	}
+	return rpt, rpt.wave.isRequested && rpt.wave.reported < rpt.state
 }
 
 // isCompleted reports whether the maintenance order of every machine of the wave was carried
