--- a/internal/schedule/fleetcontroller/fleetcontroller.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller.go
@@ -36,8 +36,8 @@
 	// maxReportAge is the age above which a pool's report is not used to plan moves or to
 	// decide that a VM is evacuated.
 	maxReportAge = 1500 * time.Millisecond
-	// listInterval is the time between machine lists while operations are in progress or
-	// VMs are missing. The platform accepts only few list calls a second from all entries
+	// listInterval is the time between machine lists while operations are in progress,
+	// VMs are missing or a wave waits for machines that are not listed. The platform accepts only few list calls a second from all entries
 	// together.
 	listInterval = 400 * time.Millisecond
 	// callTimeout bounds a call to the directory or the log.
@@ -47,7 +47,7 @@
 	// that it was replaced.
 	claimCheckInterval = time.Second
 	// maxProofAge is the longest time between the proof that this controller's term
-	// still lasts and an order that relies on it.
+	// still lasts and an order, or a report on a wave, that relies on it.
 	maxProofAge = time.Second
 	// orderRetryDelay is the delay before an order without a reply is repeated. A
 	// repetition is harmless: the platform reports an order that it has carried out as
@@ -174,12 +174,16 @@
 }
 
 // checkClaim checks whether another entry has claimed the fleet.
-func (ctl *Controller) checkClaim(now time.Time) {
+func (ctl *Controller) checkClaim(now time.Time) { ctl.provesTerm(now) }
+
+// provesTerm reports whether the log shows that no other entry has claimed the fleet.
+func (ctl *Controller) provesTerm(now time.Time) bool {
 	isNewest, err := claim.IsNewest(context.Background(), ctl.cfg.StateLog, ClaimName, ctl.clm.FencingToken())
 	if err == nil && !isNewest {
 		ctl.setLost(now, "fleet claimed by a later fleet controller")
 	}
 	// An unavailable log is not reported here: the membership logs it.
+	return err == nil && isNewest
 }
 
 func (ctl *Controller) setLost(now time.Time, reason string) {
@@ -243,12 +247,12 @@
 	}
 }
 
-// RequestWave adds a maintenance wave that the operator requests. A wave that is already known
-// is ignored.
+// RequestWave adds a maintenance wave that the operator requests. A repeated request is
+// ignored; one that differs replaces the earlier one.
 func (ctl *Controller) RequestWave(now time.Time, wav maintenance.Wave) {
 	ctl.mu.Lock()
 	defer ctl.mu.Unlock()
-	if ctl.waves[wav.Number] != nil && ctl.waves[wav.Number].isRequested {
+	if old := ctl.waves[wav.Number]; old != nil && old.isRequested && old.request.Equal(wav) {
 		return
 	}
 	ctl.addWave(now, wav)
--- a/internal/schedule/fleetcontroller/fleetcontroller_test.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -50,6 +51,17 @@
 	outcomeOf func(machine string) directory.OrderOutcome
 	// listDelay is the time between the reading of a list and its delivery.
 	listDelay time.Duration
+	// isHidden, if set, tells which machines a list leaves out.
+	isHidden func(machine string) bool
+	lists    int // number of lists read
+	reports  []waveReport
+}
+
+// waveReport is one report on a wave that the operator received.
+type waveReport struct {
+	at          time.Time
+	number      int64
+	isCompleted bool
 }
 
 const downtime = 1500 * time.Millisecond
@@ -72,8 +84,12 @@
 	defer time.Sleep(plt.listDelay)
 	plt.mu.Lock()
 	defer plt.mu.Unlock()
+	plt.lists++
 	var all []directory.Machine
 	for name, pool := range plt.pools {
+		if plt.isHidden != nil && plt.isHidden(name) {
+			continue
+		}
 		mac := directory.Machine{Name: name, Pool: pool, MilliCores: 16000}
 		if mac.IsUp = !time.Now().Before(plt.upAt[name]); mac.IsUp {
 			mac.VM = plt.vm(name)
@@ -115,8 +131,35 @@
 			}
 			return out, nil
 		},
-		ReportWave: func(context.Context, int64, bool) error { return nil },
+		ReportWave: func(_ context.Context, number int64, isCompleted bool) error {
+			plt.mu.Lock()
+			defer plt.mu.Unlock()
+			plt.reports = append(plt.reports, waveReport{time.Now(), number, isCompleted})
+			return nil
+		},
+	}
+}
+
+// completedAt returns when a wave was first reported as completed, or the zero time.
+func (plt *fakePlatform) completedAt() time.Time {
+	plt.mu.Lock()
+	defer plt.mu.Unlock()
+	for _, rpt := range plt.reports {
+		if rpt.isCompleted {
+			return rpt.at
+		}
+	}
+	return time.Time{}
+}
+
+// firstOrderAt returns when a machine was first ordered, or the zero time.
+func (plt *fakePlatform) firstOrderAt(machine string) time.Time {
+	for _, ord := range plt.orders {
+		if ord.machine == machine {
+			return ord.at
+		}
 	}
+	return time.Time{}
 }
 
 func taskCount(isBusy bool) int {
@@ -161,10 +204,15 @@
 }
 
 func openControllerWithRate(t *testing.T, log *logstore.Store, plt *fakePlatform, name string, rate float64) *fleetcontroller.Controller {
+	t.Helper()
+	return openControllerWithDirectory(t, log, plt.directory(), name, rate)
+}
+
+func openControllerWithDirectory(t *testing.T, log *logstore.Store, dir directory.Client, name string, rate float64) *fleetcontroller.Controller {
 	t.Helper()
 	tab := queue.NewTable(1, nil, []queue.Pool{{Name: "gate"}, {Name: "haul"}})
 	ctl, err := fleetcontroller.Open(t.Context(), time.Now(), fleetcontroller.Config{
-		Holder: name, Address: name, OrderLease: orderLease, OrderRate: rate, StateLog: log.Client(), Directory: plt.directory(),
+		Holder: name, Address: name, OrderLease: orderLease, OrderRate: rate, StateLog: log.Client(), Directory: dir,
 		Journal: journal.New(journal.Config{}), Table: func() *queue.Table { return tab },
 	})
 	if err != nil {
@@ -254,6 +302,12 @@
 	}
 }
 
+func (plt *fakePlatform) listCount() int {
+	plt.mu.Lock()
+	defer plt.mu.Unlock()
+	return plt.lists
+}
+
 func (plt *fakePlatform) names() []string {
 	var all []string
 	for name := range plt.pools {
@@ -544,3 +598,120 @@
 		}
 	})
 }
+
+// A wave was reported as completed although the maintenance of a machine had not begun: the
+// machine had joined after the last list, or a list read in pages had left it out.
+func TestWaveWithMachineMissingFromListIsNotCompleted(t *testing.T) {
+	for _, tst := range []struct {
+		name             string
+		named            []string
+		hiddenFor, delay time.Duration
+	}{
+		{"joins after the list", []string{"haul-7"}, 1100 * time.Millisecond, 0},
+		{"joins while a list is under way", []string{"haul-7"}, 1500 * time.Millisecond, 900 * time.Millisecond},
+		{"others are done", []string{"gate-0", "haul-7"}, 3500 * time.Millisecond, 0},
+		{"lists lag", []string{"gate-0", "haul-7"}, 3900 * time.Millisecond, 300 * time.Millisecond},
+	} {
+		t.Run(tst.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log, plt, began := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul"), time.Now()
+				plt.listDelay = tst.delay
+				plt.isHidden = func(machine string) bool { return machine == "haul-7" && time.Since(began) < tst.hiddenFor }
+				ctl := openController(t, log, plt, "first")
+				plt.runFor(ctl, 0, time.Second)
+				ctl.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: tst.named, Cap: 2, Within: time.Minute})
+				plt.runFor(ctl, 0, 15*time.Second)
+				ctl.Close()
+				ordered, completed := plt.firstOrderAt("haul-7"), plt.completedAt()
+				if ordered.IsZero() || completed.Before(ordered) {
+					t.Errorf("wave reported as completed after %s, maintenance of haul-7 begun after %s", completed.Sub(began), ordered.Sub(began))
+				}
+			})
+		})
+	}
+}
+
+// A wave must also end without a machine that is gone for good, and soon, with few lists.
+func TestWaveWithMachineThatIsGoneIsCompleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
+		delete(plt.pools, "haul-7")
+		ctl := openController(t, log, plt, "first")
+		plt.runFor(ctl, 0, 10*time.Second)
+		lists := plt.listCount()
+		ctl.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: []string{"haul-7"}, Cap: 2, Within: time.Minute})
+		plt.runFor(ctl, 0, 5*time.Second)
+		if plt.completedAt().IsZero() {
+			t.Error("the wave is not completed 5 s after it was requested")
+		}
+		plt.runFor(ctl, 0, 30*time.Second)
+		ctl.Close()
+		if count := plt.listCount() - lists; count > 22 {
+			t.Errorf("%d lists in 35 s, want one each 3 s once the wave is completed", count)
+		}
+	})
+}
+
+// The operator requested a wave again with another machine, and the running controller kept to
+// the first request: it reported the wave as completed without that machine.
+func TestWaveRequestedAgainWithOtherMachines(t *testing.T) {
+	for after := 200 * time.Millisecond; after <= 4*time.Second; after += 200 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
+			ctl := openController(t, log, plt, "first")
+			ctl.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: []string{"gate-0"}, Cap: 1, Within: time.Minute})
+			plt.runFor(ctl, 0, after)
+			again := time.Now()
+			for range 2 { // a repetition of the same request changes nothing
+				ctl.RequestWave(again, maintenance.Wave{Number: 1, Machines: []string{"gate-0", "haul-7"}, Cap: 2, Within: time.Minute})
+				plt.runFor(ctl, 0, 6*time.Second)
+			}
+			ctl.Close()
+			ordered := plt.firstOrderAt("haul-7")
+			last := plt.reports[len(plt.reports)-1]
+			if ordered.IsZero() || !last.isCompleted || last.at.Before(ordered) || len(plt.orders) != 2 || len(plt.reports) > 4 {
+				t.Errorf("requested again after %s: orders %v, reports %v", after, plt.orders, plt.reports)
+			}
+			for _, rpt := range plt.reports {
+				if rpt.isCompleted && rpt.at.After(again) && rpt.at.Before(ordered) {
+					t.Errorf("requested again after %s: reported as completed before haul-7 was ordered", after)
+				}
+			}
+		})
+	}
+}
+
+// A controller that was cut off and replaced knew an earlier request of a wave than its
+// successor. When it was no longer cut off it reported the wave as completed.
+func TestReplacedControllerReportsNoWave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
+		dir := plt.directory()
+		var isCut atomic.Bool
+		isCut.Store(true)
+		report := dir.ReportWave
+		dir.ReportWave = func(ctx context.Context, number int64, isCompleted bool) error {
+			if isCut.Load() {
+				return statelog.ErrNotAppended
+			}
+			return report(ctx, number, isCompleted)
+		}
+		first := openControllerWithDirectory(t, log, dir, "first", orderRate)
+		first.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: []string{"gate-0"}, Cap: 1, Within: time.Minute})
+		plt.runFor(first, 0, 3*time.Second)
+		second := openController(t, log, plt, "second")
+		second.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: []string{"gate-0", "haul-7"}, Cap: 1, Within: time.Minute})
+		isCut.Store(false)
+		time.Sleep(2 * time.Second) // the second controller orders nothing, as it has no reports
+		early := plt.completedAt()
+		plt.runFor(second, 0, 10*time.Second)
+		first.Close()
+		second.Close()
+		if !early.IsZero() {
+			t.Error("the replaced controller reported the wave as completed")
+		}
+		if plt.completedAt().IsZero() {
+			t.Error("the wave was never reported as completed")
+		}
+	})
+}
--- a/internal/schedule/fleetcontroller/wave.go
+++ b/internal/schedule/fleetcontroller/wave.go
@@ -3,21 +3,45 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"daisywheel/internal/fleet/balance"
 	"daisywheel/internal/fleet/maintenance"
+	"daisywheel/internal/kernel/boottime"
 )
 
-// wave is a maintenance wave and its progress.
+// wave is a maintenance wave and its progress. A changed request makes it a new wave.
 type wave struct {
 	request     maintenance.Wave
 	isRequested bool                 // the operator's request is known
+	requestedAt time.Time            // when the request became known
+	absences    map[string]absence   // machines that the last lists since requestedAt lack
 	done        map[string]bool      // machines whose order was carried out
 	retryAt     map[string]time.Time // when a machine whose evacuation or order failed is tried again
 	reported    waveState
 }
 
+// absence is a sequence of consecutive lists that lack a machine.
+type absence struct {
+	lists       int
+	first, last time.Time // when the first and the last of them were requested
+}
+
+// A machine is gone for good when listsToConfirmGone consecutive lists lack it, the first
+// and the last of them at least goneAfter apart. One list is not enough: it may lag behind the
+// platform, and one that is read in pages may skip a machine that moves meanwhile. Machines
+// that a platform loses sight of are back within 2 s; goneAfter is twice that.
+const (
+	listsToConfirmGone = 3
+	goneAfter          = 4 * time.Second
+)
+
+func (abs absence) isGone() bool {
+	return abs.lists >= listsToConfirmGone && abs.last.Sub(abs.first) >= goneAfter
+}
+
 type waveState int
 
 const (
@@ -36,9 +60,13 @@
 	return wav
 }
 
+// addWave adds a wave, or replaces the request of one that is known. What was done stays done,
+// but the state that was reported and the machines that were gone belong to the old request.
 func (ctl *Controller) addWave(now time.Time, req maintenance.Wave) {
-	wav := ctl.waveOf(req.Number)
-	wav.request, wav.isRequested = req, true
+	old := ctl.waveOf(req.Number)
+	ctl.waves[req.Number] = &wave{
+		request: req, isRequested: true, requestedAt: now, absences: map[string]absence{}, done: old.done, retryAt: old.retryAt,
+	}
 	ctl.cfg.Journal.Event(now, "waveAsked", slog.Int64("wave", req.Number), slog.Int("machines", len(req.Machines)),
 		slog.Int("cap", req.Cap), slog.Duration("within", req.Within))
 }
@@ -153,53 +181,115 @@
 	return count
 }
 
-// reportWaves reports the state of the waves to the operator when it has changed.
+// reportWaves reports the state of the waves to the operator when it has changed. A controller
+// that was replaced may know an old request or list, so the term is proved before.
 func (ctl *Controller) reportWaves(now time.Time) {
-	ctl.mu.Lock()
-	var due []waveReport
-	for number, wav := range ctl.waves {
-		if !wav.isRequested {
+	provenAt, due := boottime.Now(), ctl.wavesToReport()
+	if len(due) == 0 || !ctl.provesTerm(now) {
+		return
+	}
+	for _, number := range due {
+		rpt, isDue := ctl.dueReport(number) // meanwhile the request may have changed
+		if !isDue || boottime.Now()-provenAt > maxProofAge {
 			continue
 		}
-		want := inProgress
-		if ctl.isCompleted(wav) {
-			want = completed
-		}
-		if wav.reported < want {
-			due = append(due, waveReport{number, want})
-		}
-	}
-	ctl.mu.Unlock()
-	for _, rpt := range due {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-		err := ctl.cfg.Directory.ReportWave(ctx, rpt.number, rpt.state == completed)
+		err := ctl.cfg.Directory.ReportWave(ctx, number, rpt.state == completed)
 		cancel()
 		if err != nil {
-			ctl.cfg.Journal.Warn(now, "waveUnreported", slog.Int64("wave", rpt.number), slog.String("error", err.Error()))
+			ctl.cfg.Journal.Warn(now, "waveUnreported", slog.Int64("wave", number), slog.String("error", err.Error()))
 			continue
 		}
 		ctl.mu.Lock()
-		ctl.waves[rpt.number].reported = rpt.state
+		rpt.wave.reported = rpt.state
 		ctl.mu.Unlock()
-		ctl.cfg.Journal.Event(now, "waveReported", slog.Int64("wave", rpt.number), slog.Bool("completed", rpt.state == completed))
+		ctl.cfg.Journal.Event(now, "waveReported", slog.Int64("wave", number), slog.Bool("completed", rpt.state == completed))
 	}
 }
 
 type waveReport struct {
-	number int64
-	state  waveState
+	wave  *wave
+	state waveState
+}
+
+// wavesToReport returns the numbers of the waves whose state has to be reported.
+func (ctl *Controller) wavesToReport() []int64 {
+	ctl.mu.Lock()
+	numbers := slices.Collect(maps.Keys(ctl.waves))
+	ctl.mu.Unlock()
+	return slices.DeleteFunc(numbers, func(number int64) bool {
+		_, isDue := ctl.dueReport(number)
+		return !isDue
+	})
 }
 
-// isCompleted reports whether the maintenance order of every machine of the wave that is
-// still listed was carried out.
+// dueReport returns the present state of a wave, and whether it has to be reported.
+func (ctl *Controller) dueReport(number int64) (waveReport, bool) {
+	ctl.mu.Lock()
+	defer ctl.mu.Unlock()
+	rpt := waveReport{ctl.waves[number], inProgress}
+	if ctl.isCompleted(rpt.wave) {
+		rpt.state = completed
+	}
+	return rpt, rpt.wave.isRequested && rpt.wave.reported < rpt.state
+}
+
+// isCompleted reports whether the maintenance order of every machine of the wave was carried
+// out, except for those that are gone for good.
 func (ctl *Controller) isCompleted(wav *wave) bool {
+	due, missing := ctl.countUndone(wav)
+	return len(ctl.machines) > 0 && due == 0 && missing == 0
+}
+
+// countUndone returns how many machines of the wave whose order was not carried out yet are
+// listed, and how many are not listed but may not be gone either.
+func (ctl *Controller) countUndone(wav *wave) (due, missing int) {
+	for _, name := range wav.request.Machines {
+		_, isListed := ctl.machines[name]
+		switch {
+		case wav.done[name]:
+		case isListed:
+			due++
+		case !wav.absences[name].isGone():
+			missing++
+		}
+	}
+	return due, missing
+}
+
+// countAbsences counts, for each machine of the waves, the consecutive lists without it. The
+// last list was requested at requestedAt. Lists requested before a wave became known say
+// nothing about it, as its machines may have joined since.
+func (ctl *Controller) countAbsences(requestedAt time.Time) {
 	if len(ctl.machines) == 0 {
-		return false
+		return
 	}
-	for _, name := range wav.request.Machines {
-		if _, ok := ctl.machines[name]; ok && !wav.done[name] {
-			return false
+	for _, wav := range ctl.waves {
+		if !requestedAt.After(wav.requestedAt) {
+			continue
+		}
+		for _, name := range wav.request.Machines {
+			if _, ok := ctl.machines[name]; ok {
+				delete(wav.absences, name)
+				continue
+			}
+			abs := wav.absences[name]
+			if abs.lists == 0 {
+				abs.first = requestedAt
+			}
+			abs.lists, abs.last = abs.lists+1, requestedAt
+			wav.absences[name] = abs
 		}
 	}
-	return true
+}
+
+// isAnyWaveHeldUp reports whether a wave is completed except that machines are not listed,
+// which may be gone.
+func (ctl *Controller) isAnyWaveHeldUp() bool {
+	for _, wav := range ctl.waves {
+		if due, missing := ctl.countUndone(wav); wav.reported != completed && due == 0 && missing > 0 {
+			return true
+		}
+	}
+	return false
 }
