Report no refusal after an attempt with an unknown outcome

A caller could be told that its job will never run (503) and see it run: the entry's first call to the owner got no answer, the repetition was refused because nothing could be stored, and the entry passed the refusal on. The first call may still reach the owner, for example when a partition heals or a paused owner goes on, and be stored once the log is back.

Now the unknown outcome (502) prevails over any later refusal, as it did already over the refusals of entries that are cut off. The caller sends the job again under the same id.

The test failed before:

gateway_test.go:118: error 501 logUnavailable: 501 logUnavailable: nothing can be stored; repeat with the same change id when the log service is back; repeat with the same change id when the log service is back, want an unknown outcome

--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -163,20 +163,26 @@
 // call sends a request to the owner, local or remote. If no owner is found or it
 // does not answer, call looks up the owner again and repeats the request; all
 // methods are idempotent, as jobs have ids. After an unknown outcome it retries
-// until it gets an answer or ctx ends, and returns the unknown outcome in the
-// latter case.
+// until it succeeds or ctx ends. It returns the unknown outcome in the latter case and
+// after a refusal, as the first request may still reach the owner.
 func (gtw *Gateway) call(ctx context.Context, method string, req request, local func(*owner.Owner) (reply, error)) (reply, error) {
 	started := time.Now()
 	var unknownErr error
 	for isFirst := true; ; isFirst = false {
 		rep, err := gtw.callOnce(ctx, method, req, local)
 		isUnknown := fault.CodeOf(err) == code.OutcomeUnknown
-		if err == nil || !isNotOwner(err) && !isUnknown {
-			return rep, err
+		if err == nil {
+			return rep, nil
 		}
 		if isUnknown {
 			unknownErr = err
 		}
+		if !isNotOwner(err) && !isUnknown {
+			if unknownErr != nil {
+				return reply{}, unknownErr
+			}
+			return rep, err
+		}
 		isTimedOut := !isFirst && time.Since(started) > findOwnerTimeout && unknownErr == nil
 		isCutOff := isNotOwner(err) && !gtw.cfg.IsConfirmed() // without the log no other owner can be found
 		if isTimedOut || isCutOff || ctx.Err() != nil {
--- a/internal/schedule/gateway/gateway_test.go
+++ b/internal/schedule/gateway/gateway_test.go
@@ -100,3 +100,21 @@
 		t.Errorf("error %v after %d lookups, want a refusal without one", err, lookups.Load()-before)
 	}
 }
+
+// A partition that heals may deliver a submission to the owner after its repetition was
+// refused. The caller must not be told that the job will never run.
+func TestRefusedRepetitionLeavesOutcomeUnknown(t *testing.T) {
+	log := logstore.New(logstore.Config{}).Client()
+	var calls atomic.Int64
+	startPeer(t, log, func() (any, error) {
+		if calls.Add(1) == 1 {
+			time.Sleep(1200 * time.Millisecond) // longer than a call may take
+			return struct{}{}, nil
+		}
+		return nil, fault.New(code.LogUnavailable, "nothing can be stored")
+	})
+	gtw := newGateway(t, log, func() bool { return true })
+	if err := submit(t, gtw, "00000000000000a4"); fault.CodeOf(err) != code.OutcomeUnknown {
+		t.Errorf("error %v, want an unknown outcome", err)
+	}
+}
