Look up the owner again when the log is not available to it

Callers whose entry knew a former owner that the log no longer answers were refused (logUnavailable) although the next owner accepted jobs: the entry looked up the owner again only after notReady. This lasted until the former owner learned of its successor from a VM, or for up to 12 s without one.

Now an entry whose own membership is confirmed looks up the owner after such a refusal, at most once a second, and sends the request to the next owner if there is one.

The test failed before:

gateway_test.go:134: error 501 logUnavailable: 501 logUnavailable: nothing can be stored; repeat with the same change id when the log service is back; repeat with the same change id when the log service is back, want the next owner to accept the job

--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -37,6 +37,9 @@
 	// minLookupInterval limits how often a pool's owner is looked up: a hundred
 	// requests that wait while the state log is down cause ten lookups a second.
 	minLookupInterval = 100 * time.Millisecond
+	// refusalLookupInterval is the same while the owner cannot reach the log. Usually no
+	// entry can then, and a change of owner takes longer than that.
+	refusalLookupInterval = time.Second
 	// callTimeout bounds a call to an owner: twice the time of an append to a state
 	// log that is 60 times slower than usual.
 	callTimeout = 900 * time.Millisecond
@@ -169,6 +172,7 @@
 	started := time.Now()
 	var unknownErr error
 	for isFirst := true; ; isFirst = false {
+		address := gtw.ownerAddress(req.Pool)
 		rep, err := gtw.callOnce(ctx, method, req, local)
 		isUnknown := fault.CodeOf(err) == code.OutcomeUnknown
 		if err == nil {
@@ -181,6 +185,9 @@
 			if unknownErr != nil {
 				return reply{}, unknownErr
 			}
+			if fault.CodeOf(err) == code.LogUnavailable && gtw.findsNextOwner(ctx, req.Pool, address) {
+				continue
+			}
 			return rep, err
 		}
 		isTimedOut := !isFirst && time.Since(started) > findOwnerTimeout && unknownErr == nil
@@ -212,9 +219,7 @@
 	if own := gtw.cfg.LocalOwner(req.Pool); own != nil {
 		return local(own)
 	}
-	gtw.mu.Lock()
-	address := gtw.ownerAddresses[req.Pool]
-	gtw.mu.Unlock()
+	address := gtw.ownerAddress(req.Pool)
 	if address == "" || address == gtw.cfg.Address {
 		return reply{}, fault.New(code.NotReady, "the pool %s has no owner that is known here", req.Pool)
 	}
@@ -235,6 +240,30 @@
 	return rep, err
 }
 
+// ownerAddress returns the address of the pool's owner as of the last lookup, or "".
+func (gtw *Gateway) ownerAddress(pool string) string {
+	gtw.mu.Lock()
+	defer gtw.mu.Unlock()
+	return gtw.ownerAddresses[pool]
+}
+
+// findsNextOwner looks up the pool's owner after the one at the address could not reach
+// the log, and reports whether there is another.
+func (gtw *Gateway) findsNextOwner(ctx context.Context, pool, address string) bool {
+	if gtw.cfg.LocalOwner(pool) != nil || !gtw.cfg.IsConfirmed() {
+		return false
+	}
+	gtw.mu.Lock()
+	isDue := time.Since(gtw.lookedUpAt[pool]) >= refusalLookupInterval
+	gtw.mu.Unlock()
+	if isDue {
+		ctx, cancel := context.WithTimeout(ctx, cutOffTimeout)
+		defer cancel()
+		gtw.refreshOwner(ctx, pool)
+	}
+	return gtw.ownerAddress(pool) != address
+}
+
 // limitIfCutOff limits ctx to cutOffTimeout if this entry may be cut off. Its callers are
 // then better served by another entry.
 func (gtw *Gateway) limitIfCutOff(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/internal/schedule/gateway/gateway_test.go
+++ b/internal/schedule/gateway/gateway_test.go
@@ -118,3 +118,19 @@
 		t.Errorf("error %v, want an unknown outcome", err)
 	}
 }
+
+// Callers whose entry knew a former owner that was cut off from the log were refused while the
+// next owner accepted jobs.
+func TestRefusalByFormerOwnerLeadsToNextOwner(t *testing.T) {
+	log := logstore.New(logstore.Config{}).Client()
+	startPeer(t, log, func() (any, error) { return nil, fault.New(code.LogUnavailable, "nothing can be stored") })
+	gtw := newGateway(t, log, func() bool { return true })
+	if err := submit(t, gtw, "00000000000000a5"); fault.CodeOf(err) != code.LogUnavailable {
+		t.Errorf("error %v, want a refusal by the only owner", err)
+	}
+	startPeer(t, log, func() (any, error) { return struct{}{}, nil })
+	time.Sleep(1100 * time.Millisecond) // the owner is looked up at most once a second
+	if err := submit(t, gtw, "00000000000000a6"); err != nil {
+		t.Errorf("error %v, want the next owner to accept the job", err)
+	}
+}
