--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -37,6 +37,9 @@
 	// minLookupInterval limits how often a pool's owner is looked up: a hundred
 	// requests that wait while the state log is down cause ten lookups a second.
 	minLookupInterval = 100 * time.Millisecond
+	// refusalLookupInterval is the same while the owner cannot reach the log. Usually no
+	// entry can then, and a change of owner takes longer than that.
+	refusalLookupInterval = time.Second
 	// callTimeout bounds a call to an owner: twice the time of an append to a state
 	// log that is 60 times slower than usual.
 	callTimeout = 900 * time.Millisecond
@@ -163,20 +166,30 @@
 // call sends a request to the owner, local or remote. If no owner is found or it
 // does not answer, call looks up the owner again and repeats the request; all
 // methods are idempotent, as jobs have ids. After an unknown outcome it retries
-// until it gets an answer or ctx ends, and returns the unknown outcome in the
-// latter case.
+// until it succeeds or ctx ends. It returns the unknown outcome in the latter case and
+// after a refusal, as the first request may still reach the owner.
 func (gtw *Gateway) call(ctx context.Context, method string, req request, local func(*owner.Owner) (reply, error)) (reply, error) {
 	started := time.Now()
 	var unknownErr error
 	for isFirst := true; ; isFirst = false {
+		address := gtw.ownerAddress(req.Pool)
 		rep, err := gtw.callOnce(ctx, method, req, local)
 		isUnknown := fault.CodeOf(err) == code.OutcomeUnknown
-		if err == nil || !isNotOwner(err) && !isUnknown {
-			return rep, err
+		if err == nil {
+			return rep, nil
 		}
 		if isUnknown {
 			unknownErr = err
 		}
+		if !isNotOwner(err) && !isUnknown {
+			if unknownErr != nil {
+				return reply{}, unknownErr
+			}
+			if fault.CodeOf(err) == code.LogUnavailable && gtw.findsNextOwner(ctx, req.Pool, address) {
+				continue
+			}
+			return rep, err
+		}
 		isTimedOut := !isFirst && time.Since(started) > findOwnerTimeout && unknownErr == nil
 		isCutOff := isNotOwner(err) && !gtw.cfg.IsConfirmed() // without the log no other owner can be found
 		if isTimedOut || isCutOff || ctx.Err() != nil {
@@ -206,9 +219,7 @@
 	if own := gtw.cfg.LocalOwner(req.Pool); own != nil {
 		return local(own)
 	}
-	gtw.mu.Lock()
-	address := gtw.ownerAddresses[req.Pool]
-	gtw.mu.Unlock()
+	address := gtw.ownerAddress(req.Pool)
 	if address == "" || address == gtw.cfg.Address {
 		return reply{}, fault.New(code.NotReady, "the pool %s has no owner that is known here", req.Pool)
 	}
@@ -229,6 +240,30 @@
 	return rep, err
 }
 
+// ownerAddress returns the address of the pool's owner as of the last lookup, or "".
+func (gtw *Gateway) ownerAddress(pool string) string {
+	gtw.mu.Lock()
+	defer gtw.mu.Unlock()
+	return gtw.ownerAddresses[pool]
+}
+
+// findsNextOwner looks up the pool's owner after the one at the address could not reach
+// the log, and reports whether there is another.
+func (gtw *Gateway) findsNextOwner(ctx context.Context, pool, address string) bool {
+	if gtw.cfg.LocalOwner(pool) != nil || !gtw.cfg.IsConfirmed() {
+		return false
+	}
+	gtw.mu.Lock()
+	isDue := time.Since(gtw.lookedUpAt[pool]) >= refusalLookupInterval
+	gtw.mu.Unlock()
+	if isDue {
+		ctx, cancel := context.WithTimeout(ctx, cutOffTimeout)
+		defer cancel()
+		gtw.refreshOwner(ctx, pool)
+	}
+	return gtw.ownerAddress(pool) != address
+}
+
 // limitIfCutOff limits ctx to cutOffTimeout if this entry may be cut off. Its callers are
 // then better served by another entry.
 func (gtw *Gateway) limitIfCutOff(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/internal/schedule/gateway/gateway_test.go
+++ b/internal/schedule/gateway/gateway_test.go
@@ -100,3 +100,37 @@
 		t.Errorf("error %v after %d lookups, want a refusal without one", err, lookups.Load()-before)
 	}
 }
+
+// A partition that heals may deliver a submission to the owner after its repetition was
+// refused. The caller must not be told that the job will never run.
+func TestRefusedRepetitionLeavesOutcomeUnknown(t *testing.T) {
+	log := logstore.New(logstore.Config{}).Client()
+	var calls atomic.Int64
+	startPeer(t, log, func() (any, error) {
+		if calls.Add(1) == 1 {
+			time.Sleep(1200 * time.Millisecond) // longer than a call may take
+			return struct{}{}, nil
+		}
+		return nil, fault.New(code.LogUnavailable, "nothing can be stored")
+	})
+	gtw := newGateway(t, log, func() bool { return true })
+	if err := submit(t, gtw, "00000000000000a4"); fault.CodeOf(err) != code.OutcomeUnknown {
+		t.Errorf("error %v, want an unknown outcome", err)
+	}
+}
+
+// Callers whose entry knew a former owner that was cut off from the log were refused while the
+// next owner accepted jobs.
+func TestRefusalByFormerOwnerLeadsToNextOwner(t *testing.T) {
+	log := logstore.New(logstore.Config{}).Client()
+	startPeer(t, log, func() (any, error) { return nil, fault.New(code.LogUnavailable, "nothing can be stored") })
+	gtw := newGateway(t, log, func() bool { return true })
+	if err := submit(t, gtw, "00000000000000a5"); fault.CodeOf(err) != code.LogUnavailable {
+		t.Errorf("error %v, want a refusal by the only owner", err)
+	}
+	startPeer(t, log, func() (any, error) { return struct{}{}, nil })
+	time.Sleep(1100 * time.Millisecond) // the owner is looked up at most once a second
+	if err := submit(t, gtw, "00000000000000a6"); err != nil {
+		t.Errorf("error %v, want the next owner to accept the job", err)
+	}
+}
