Count machines that are missing from a list against the cap of their wave

What callers would see (LIMIT): a maintenance begins while as many machines of its wave are down as its cap allows. Cause: the same as of waves that were completed too early, found while looking for it elsewhere: the operation on a machine ended with the first list that lacked it, and a machine that an earlier controller took down counted only while listed. Change: such machines count until they are gone for good by the rule for completed waves. The operation on a machine that is gone, a move too, now lasts up to 4 s longer.

--- a/internal/schedule/fleetcontroller/fleetcontroller_test.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller_test.go
@@ -321,6 +321,16 @@
 // successor did not count those that were stored as done, and exceeded the cap. Found in
 // the simulated days 03c2-3 and 5528-3 of the site compost.
 func TestWaveKeepsItsCapAcrossControllerChange(t *testing.T) {
+	checkCapAcrossControllerChange(t, 0)
+}
+
+// The same, with first lists of the successor that lack the machines that are down.
+func TestWaveKeepsItsCapAcrossControllerChangeWithShortLists(t *testing.T) {
+	checkCapAcrossControllerChange(t, 600*time.Millisecond)
+}
+
+func checkCapAcrossControllerChange(t *testing.T, hiddenFor time.Duration) {
+	t.Helper()
 	for ranFor := 100 * time.Millisecond; ranFor <= 2*time.Second; ranFor += 100 * time.Millisecond {
 		synctest.Test(t, func(t *testing.T) {
 			log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
@@ -335,6 +345,12 @@
 			plt.setBusy(nil) // more VMs can be evacuated, so their orders also store what was done before
 			plt.runFor(first, 0, ranFor)
 			first.Close()
+			takeover := time.Now()
+			plt.mu.Lock()
+			plt.isHidden = func(machine string) bool {
+				return time.Since(takeover) < hiddenFor && time.Now().Before(plt.upAt[machine])
+			}
+			plt.mu.Unlock()
 			second := openController(t, log, plt, "second")
 			second.RequestWave(time.Now(), wav)
 			plt.runFor(second, 0, 40*time.Second)
@@ -715,3 +731,41 @@
 		}
 	})
 }
+
+// A machine that was down for its maintenance and missing from one list no longer counted
+// against the cap, and another one was taken down.
+func TestWaveKeepsItsCapWhenAMachineIsMissingFromAList(t *testing.T) {
+	checkCapWithShortList(t, 0)
+}
+
+// The same, when the order for the machine has had no reply.
+func TestWaveKeepsItsCapWhenAnUnansweredMachineIsMissingFromAList(t *testing.T) {
+	checkCapWithShortList(t, 4*time.Second)
+}
+
+func checkCapWithShortList(t *testing.T, unansweredFor time.Duration) {
+	t.Helper()
+	for hiddenFrom := 400 * time.Millisecond; hiddenFrom <= 2*time.Second; hiddenFrom += 200 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			log, plt, began := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul"), time.Now()
+			plt.isHidden = func(machine string) bool {
+				at := time.Since(began)
+				return machine == "gate-0" && at >= hiddenFrom && at < hiddenFrom+400*time.Millisecond
+			}
+			plt.outcomeOf = func(string) directory.OrderOutcome {
+				if time.Since(began) < unansweredFor {
+					return directory.OrderUnknown
+				}
+				return directory.OrderDone
+			}
+			ctl := openController(t, log, plt, "first")
+			ctl.RequestWave(began, maintenance.Wave{Number: 1, Machines: []string{"gate-0", "gate-1", "gate-2"}, Cap: 1, Within: time.Minute})
+			plt.runFor(ctl, 0, 25*time.Second)
+			ctl.Close()
+			if len(plt.orders) != 3 {
+				t.Errorf("missing after %s: %d orders for 3 machines", hiddenFrom, len(plt.orders))
+			}
+			plt.checkCap(t, 1)
+		})
+	}
+}
--- a/internal/schedule/fleetcontroller/operation.go
+++ b/internal/schedule/fleetcontroller/operation.go
@@ -21,18 +21,24 @@
 	isInFlight  bool      // an order is in flight
 	// isRestored is set when an earlier fleet controller may have sent the order.
 	isRestored bool
+	absence    absence // from the last machine lists
 	milliCores int64
 }
 
 // completeOperations finishes the operations of machines that are up again according
-// to the machine list, which was requested at requestedAt.
+// to the machine list, which was requested at requestedAt, or gone for good.
 func (ctl *Controller) completeOperations(now, requestedAt time.Time) {
 	for name, opr := range ctl.operations {
 		mac, ok := ctl.machines[name]
 		isUp := ok && mac.IsUp && mac.VM != ""
 		isNew := isUp && mac.VM != opr.vm
+		if ok {
+			opr.absence = absence{}
+		} else {
+			opr.absence = opr.absence.next(requestedAt)
+		}
 		switch {
-		case !ok || isUp && opr.isExecuted && opr.isFinished(requestedAt, isNew) || isNew && opr.wave == 0 && opr.isOrdered:
+		case opr.absence.isGone() || isUp && opr.isExecuted && opr.isFinished(requestedAt, isNew) || isNew && opr.wave == 0 && opr.isOrdered:
 			ctl.finish(now, opr, ok)
 		case isNew:
 			opr.vm = mac.VM // restarted, but not by an order
--- a/internal/schedule/fleetcontroller/wave.go
+++ b/internal/schedule/fleetcontroller/wave.go
@@ -37,6 +37,14 @@
 	goneAfter          = 4 * time.Second
 )
 
+// next returns the absence after another list without the machine.
+func (abs absence) next(requestedAt time.Time) absence {
+	if abs.lists == 0 {
+		abs.first = requestedAt
+	}
+	return absence{abs.lists + 1, abs.first, requestedAt}
+}
+
 func (abs absence) isGone() bool {
 	return abs.lists >= listsToConfirmGone && abs.last.Sub(abs.first) >= goneAfter
 }
@@ -163,7 +171,8 @@
 }
 
 // countUnderMaintenance returns how many machines of the wave are being evacuated or are
-// down, including those that are still down after an order of an earlier controller.
+// down, including those that are still down, or not listed, after an order of an earlier
+// controller.
 func (ctl *Controller) countUnderMaintenance(number int64, wav *wave) int {
 	count := 0
 	for _, opr := range ctl.operations {
@@ -171,6 +180,12 @@
 			count++
 		}
 	}
+	for _, name := range wav.request.Machines {
+		_, isListed := ctl.machines[name]
+		if wav.done[name] && !isListed && !wav.absences[name].isGone() && ctl.operations[name] == nil {
+			count++
+		}
+	}
 	for name := range wav.done {
 		mac, ok := ctl.machines[name]
 		if ok && !mac.IsUp && !mac.IsOff && ctl.operations[name] == nil {
@@ -272,12 +287,7 @@
 				delete(wav.absences, name)
 				continue
 			}
-			abs := wav.absences[name]
-			if abs.lists == 0 {
-				abs.first = requestedAt
-			}
-			abs.lists, abs.last = abs.lists+1, requestedAt
-			wav.absences[name] = abs
+			wav.absences[name] = wav.absences[name].next(requestedAt)
 		}
 	}
 }
