--- a/internal/schedule/fleetcontroller/fleetcontroller_test.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller_test.go
@@ -1,9 +1,11 @@
 package fleetcontroller_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -205,16 +207,15 @@
 
 func openControllerWithRate(t *testing.T, log *logstore.Store, plt *fakePlatform, name string, rate float64) *fleetcontroller.Controller {
 	t.Helper()
-	return openControllerWithDirectory(t, log, plt.directory(), name, rate)
+	return openControllerWithConfig(t, log, fleetcontroller.Config{Holder: name, OrderRate: rate, Directory: plt.directory(), Journal: journal.New(journal.Config{})})
 }
 
-func openControllerWithDirectory(t *testing.T, log *logstore.Store, dir directory.Client, name string, rate float64) *fleetcontroller.Controller {
+// openControllerWithConfig sets the fields of cfg that are the same in all tests.
+func openControllerWithConfig(t *testing.T, log *logstore.Store, cfg fleetcontroller.Config) *fleetcontroller.Controller {
 	t.Helper()
 	tab := queue.NewTable(1, nil, []queue.Pool{{Name: "gate"}, {Name: "haul"}})
-	ctl, err := fleetcontroller.Open(t.Context(), time.Now(), fleetcontroller.Config{
-		Holder: name, Address: name, OrderLease: orderLease, OrderRate: rate, StateLog: log.Client(), Directory: dir,
-		Journal: journal.New(journal.Config{}), Table: func() *queue.Table { return tab },
-	})
+	cfg.Address, cfg.OrderLease, cfg.StateLog, cfg.Table = cfg.Holder, orderLease, log.Client(), func() *queue.Table { return tab }
+	ctl, err := fleetcontroller.Open(t.Context(), time.Now(), cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -712,7 +713,7 @@
 			}
 			return report(ctx, number, isCompleted)
 		}
-		first := openControllerWithDirectory(t, log, dir, "first", orderRate)
+		first := openControllerWithConfig(t, log, fleetcontroller.Config{Holder: "first", OrderRate: orderRate, Directory: dir, Journal: journal.New(journal.Config{})})
 		first.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: []string{"gate-0"}, Cap: 1, Within: time.Minute})
 		plt.runFor(first, 0, 3*time.Second)
 		second := openController(t, log, plt, "second")
@@ -769,3 +770,29 @@
 		})
 	}
 }
+
+// A wave that was reported as completed could not be traced to what the controller knew.
+func TestReportedWaveIsTraceable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
+		var out bytes.Buffer
+		jnl := journal.New(journal.Config{Out: &out})
+		ctl := openControllerWithConfig(t, log, fleetcontroller.Config{Holder: "first", OrderRate: orderRate, Directory: plt.directory(), Journal: jnl})
+		wav := maintenance.Wave{Number: 7, Machines: []string{"gate-0"}, Cap: 1, Within: time.Minute}
+		for i := range 9 {
+			wav.Machines = append(wav.Machines, fmt.Sprintf("gone-%d", i))
+		}
+		ctl.RequestWave(time.Now(), wav)
+		plt.runFor(ctl, 0, 8*time.Second)
+		ctl.Close()
+		jnl.Close()
+		for _, want := range []string{
+			`"completed":false,"machines":10,"done":0,"absent":9,"absentMachines":"gone-0 gone-1 gone-2 gone-3 gone-4","listAge":0,"fence":1`,
+			`"completed":true,"machines":10,"done":1,"absent":9,"absentMachines":"gone-0 gone-1 gone-2 gone-3 gone-4","listAge":`,
+		} {
+			if !strings.Contains(out.String(), `"waveReported","process":"","zone":"","wave":7,`+want) {
+				t.Errorf("no line with %s in\n%s", want, out.String())
+			}
+		}
+	})
+}
