--- a/internal/schedule/fleetcontroller/fleetcontroller_test.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller_test.go
@@ -1,9 +1,11 @@
 package fleetcontroller_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -205,16 +207,15 @@
 
 func openControllerWithRate(t *testing.T, log *logstore.Store, plt *fakePlatform, name string, rate float64) *fleetcontroller.Controller {
 	t.Helper()
-	return openControllerWithDirectory(t, log, plt.directory(), name, rate)
+	return openControllerWithConfig(t, log, fleetcontroller.Config{Holder: name, OrderRate: rate, Directory: plt.directory(), Journal: journal.New(journal.Config{})})
 }
 
-func openControllerWithDirectory(t *testing.T, log *logstore.Store, dir directory.Client, name string, rate float64) *fleetcontroller.Controller {
+// openControllerWithConfig sets the fields of cfg that are the same in all tests.
+func openControllerWithConfig(t *testing.T, log *logstore.Store, cfg fleetcontroller.Config) *fleetcontroller.Controller {
 	t.Helper()
 	tab := queue.NewTable(1, nil, []queue.Pool{{Name: "gate"}, {Name: "haul"}})
-	ctl, err := fleetcontroller.Open(t.Context(), time.Now(), fleetcontroller.Config{
-		Holder: name, Address: name, OrderLease: orderLease, OrderRate: rate, StateLog: log.Client(), Directory: dir,
-		Journal: journal.New(journal.Config{}), Table: func() *queue.Table { return tab },
-	})
+	cfg.Address, cfg.OrderLease, cfg.StateLog, cfg.Table = cfg.Holder, orderLease, log.Client(), func() *queue.Table { return tab }
+	ctl, err := fleetcontroller.Open(t.Context(), time.Now(), cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -321,6 +322,16 @@
 // successor did not count those that were stored as done, and exceeded the cap. Found in
 // the simulated days 03c2-3 and 5528-3 of the site compost.
 func TestWaveKeepsItsCapAcrossControllerChange(t *testing.T) {
+	checkCapAcrossControllerChange(t, 0)
+}
+
+// The same, with first lists of the successor that lack the machines that are down.
+func TestWaveKeepsItsCapAcrossControllerChangeWithShortLists(t *testing.T) {
+	checkCapAcrossControllerChange(t, 600*time.Millisecond)
+}
+
+func checkCapAcrossControllerChange(t *testing.T, hiddenFor time.Duration) {
+	t.Helper()
 	for ranFor := 100 * time.Millisecond; ranFor <= 2*time.Second; ranFor += 100 * time.Millisecond {
 		synctest.Test(t, func(t *testing.T) {
 			log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
@@ -335,6 +346,12 @@
 			plt.setBusy(nil) // more VMs can be evacuated, so their orders also store what was done before
 			plt.runFor(first, 0, ranFor)
 			first.Close()
+			takeover := time.Now()
+			plt.mu.Lock()
+			plt.isHidden = func(machine string) bool {
+				return time.Since(takeover) < hiddenFor && time.Now().Before(plt.upAt[machine])
+			}
+			plt.mu.Unlock()
 			second := openController(t, log, plt, "second")
 			second.RequestWave(time.Now(), wav)
 			plt.runFor(second, 0, 40*time.Second)
@@ -696,7 +713,7 @@
 			}
 			return report(ctx, number, isCompleted)
 		}
-		first := openControllerWithDirectory(t, log, dir, "first", orderRate)
+		first := openControllerWithConfig(t, log, fleetcontroller.Config{Holder: "first", OrderRate: orderRate, Directory: dir, Journal: journal.New(journal.Config{})})
 		first.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: []string{"gate-0"}, Cap: 1, Within: time.Minute})
 		plt.runFor(first, 0, 3*time.Second)
 		second := openController(t, log, plt, "second")
@@ -715,3 +732,67 @@
 		}
 	})
 }
+
+// A machine that was down for its maintenance and missing from one list no longer counted
+// against the cap, and another one was taken down.
+func TestWaveKeepsItsCapWhenAMachineIsMissingFromAList(t *testing.T) {
+	checkCapWithShortList(t, 0)
+}
+
+// The same, when the order for the machine has had no reply.
+func TestWaveKeepsItsCapWhenAnUnansweredMachineIsMissingFromAList(t *testing.T) {
+	checkCapWithShortList(t, 4*time.Second)
+}
+
+func checkCapWithShortList(t *testing.T, unansweredFor time.Duration) {
+	t.Helper()
+	for hiddenFrom := 400 * time.Millisecond; hiddenFrom <= 2*time.Second; hiddenFrom += 200 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			log, plt, began := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul"), time.Now()
+			plt.isHidden = func(machine string) bool {
+				at := time.Since(began)
+				return machine == "gate-0" && at >= hiddenFrom && at < hiddenFrom+400*time.Millisecond
+			}
+			plt.outcomeOf = func(string) directory.OrderOutcome {
+				if time.Since(began) < unansweredFor {
+					return directory.OrderUnknown
+				}
+				return directory.OrderDone
+			}
+			ctl := openController(t, log, plt, "first")
+			ctl.RequestWave(began, maintenance.Wave{Number: 1, Machines: []string{"gate-0", "gate-1", "gate-2"}, Cap: 1, Within: time.Minute})
+			plt.runFor(ctl, 0, 25*time.Second)
+			ctl.Close()
+			if len(plt.orders) != 3 {
+				t.Errorf("missing after %s: %d orders for 3 machines", hiddenFrom, len(plt.orders))
+			}
+			plt.checkCap(t, 1)
+		})
+	}
+}
+
+// A wave that was reported as completed could not be traced to what the controller knew.
+func TestReportedWaveIsTraceable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
+		var out bytes.Buffer
+		jnl := journal.New(journal.Config{Out: &out})
+		ctl := openControllerWithConfig(t, log, fleetcontroller.Config{Holder: "first", OrderRate: orderRate, Directory: plt.directory(), Journal: jnl})
+		wav := maintenance.Wave{Number: 7, Machines: []string{"gate-0"}, Cap: 1, Within: time.Minute}
+		for i := range 9 {
+			wav.Machines = append(wav.Machines, fmt.Sprintf("gone-%d", i))
+		}
+		ctl.RequestWave(time.Now(), wav)
+		plt.runFor(ctl, 0, 8*time.Second)
+		ctl.Close()
+		jnl.Close()
+		for _, want := range []string{
+			`"completed":false,"machines":10,"done":0,"absent":9,"absentMachines":"gone-0 gone-1 gone-2 gone-3 gone-4","listAge":0,"fence":1`,
+			`"completed":true,"machines":10,"done":1,"absent":9,"absentMachines":"gone-0 gone-1 gone-2 gone-3 gone-4","listAge":`,
+		} {
+			if !strings.Contains(out.String(), `"waveReported","process":"","zone":"","wave":7,`+want) {
+				t.Errorf("no line with %s in\n%s", want, out.String())
+			}
+		}
+	})
+}
--- a/internal/schedule/fleetcontroller/wave.go
+++ b/internal/schedule/fleetcontroller/wave.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"daisywheel/internal/fleet/balance"
@@ -38,6 +39,14 @@
 	goneAfter          = 4 * time.Second
 )
 
+// next returns the absence after another list without the machine.
+func (abs absence) next(requestedAt time.Time) absence {
+	if abs.lists == 0 {
+		abs.first = requestedAt
+	}
+	return absence{abs.lists + 1, abs.first, requestedAt}
+}
+
 func (abs absence) isGone() bool {
 	return abs.lists >= listsToConfirmGone && abs.last.Sub(abs.first) >= goneAfter
 }
@@ -164,7 +173,8 @@
 }
 
 // countUnderMaintenance returns how many machines of the wave are being evacuated or are
-// down, including those that are still down after an order of an earlier controller.
+// down, including those that are still down, or not listed, after an order of an earlier
+// controller.
 func (ctl *Controller) countUnderMaintenance(number int64, wav *wave) int {
 	count := 0
 	for _, opr := range ctl.operations {
@@ -172,6 +182,12 @@
 			count++
 		}
 	}
+	for _, name := range wav.request.Machines {
+		_, isListed := ctl.machines[name]
+		if wav.done[name] && !isListed && !wav.absences[name].isGone() && ctl.operations[name] == nil {
+			count++
+		}
+	}
 	for name := range wav.done {
 		mac, ok := ctl.machines[name]
 		if ok && !mac.IsUp && !mac.IsOff && ctl.operations[name] == nil {
@@ -184,12 +200,12 @@
 // reportWaves reports the state of the waves to the operator when it has changed. A controller
 // that was replaced may know an old request or list, so the term is proved before.
 func (ctl *Controller) reportWaves(now time.Time) {
-	provenAt, due := boottime.Now(), ctl.wavesToReport()
+	provenAt, due := boottime.Now(), ctl.wavesToReport(now)
 	if len(due) == 0 || !ctl.provesTerm(now) {
 		return
 	}
 	for _, number := range due {
-		rpt, isDue := ctl.dueReport(number) // meanwhile the request may have changed
+		rpt, isDue := ctl.dueReport(now, number) // meanwhile the request may have changed
 		if !isDue || boottime.Now()-provenAt > maxProofAge {
 			continue
 		}
@@ -203,37 +219,69 @@
 		ctl.mu.Lock()
 		rpt.wave.reported = rpt.state
 		ctl.mu.Unlock()
-		ctl.cfg.Journal.Event(now, "waveReported", slog.Int64("wave", number), slog.Bool("completed", rpt.state == completed))
+		ctl.cfg.Journal.Event(now, "waveReported", append([]slog.Attr{slog.Int64("wave", number), slog.Bool("completed", rpt.state == completed)}, rpt.basis...)...)
 	}
 }
 
 type waveReport struct {
 	wave  *wave
 	state waveState
+	basis []slog.Attr // what the state rests on
 }
 
 // wavesToReport returns the numbers of the waves whose state has to be reported.
-func (ctl *Controller) wavesToReport() []int64 {
+func (ctl *Controller) wavesToReport(now time.Time) []int64 {
 	ctl.mu.Lock()
 	numbers := slices.Collect(maps.Keys(ctl.waves))
 	ctl.mu.Unlock()
 	return slices.DeleteFunc(numbers, func(number int64) bool {
-		_, isDue := ctl.dueReport(number)
+		_, isDue := ctl.dueReport(now, number)
 		return !isDue
 	})
 }
 
 // dueReport returns the present state of a wave, and whether it has to be reported.
-func (ctl *Controller) dueReport(number int64) (waveReport, bool) {
+func (ctl *Controller) dueReport(now time.Time, number int64) (waveReport, bool) {
 	ctl.mu.Lock()
 	defer ctl.mu.Unlock()
-	rpt := waveReport{ctl.waves[number], inProgress}
+	rpt := waveReport{wave: ctl.waves[number], state: inProgress}
 	if ctl.isCompleted(rpt.wave) {
 		rpt.state = completed
 	}
-	return rpt, rpt.wave.isRequested && rpt.wave.reported < rpt.state
+	if !rpt.wave.isRequested || rpt.wave.reported >= rpt.state {
+		return rpt, false
+	}
+	rpt.basis = ctl.basis(now, rpt.wave)
+	return rpt, true
 }
 
+// basis returns what the state of a wave rests on, for the log. A machine that is neither done
+// nor listed is absent.
+func (ctl *Controller) basis(now time.Time, wav *wave) []slog.Attr {
+	done, absent := 0, []string{}
+	for _, name := range wav.request.Machines {
+		_, isListed := ctl.machines[name]
+		switch {
+		case wav.done[name]:
+			done++
+		case !isListed:
+			absent = append(absent, name)
+		}
+	}
+	listAge := time.Duration(-1) // no list yet
+	if !ctl.listedAt.IsZero() {
+		listAge = now.Sub(ctl.listedAt)
+	}
+	return []slog.Attr{
+		slog.Int("machines", len(wav.request.Machines)), slog.Int("done", done), slog.Int("absent", len(absent)),
+		slog.String("absentMachines", strings.Join(absent[:min(len(absent), maxAbsentLogged)], " ")),
+		slog.Duration("listAge", listAge), slog.Int64("fence", ctl.clm.FencingToken()),
+	}
+}
+
+// maxAbsentLogged bounds how many absent machines a log line names.
+const maxAbsentLogged = 5
+
 // isCompleted reports whether the maintenance order of every machine of the wave was carried
 // out, except for those that are gone for good.
 func (ctl *Controller) isCompleted(wav *wave) bool {
@@ -273,12 +321,7 @@
 				delete(wav.absences, name)
 				continue
 			}
-			abs := wav.absences[name]
-			if abs.lists == 0 {
-				abs.first = requestedAt
-			}
-			abs.lists, abs.last = abs.lists+1, requestedAt
-			wav.absences[name] = abs
+			wav.absences[name] = wav.absences[name].next(requestedAt)
 		}
 	}
 }
