--- a/internal/schedule/owner/owner_test.go
+++ b/internal/schedule/owner/owner_test.go
@@ -482,6 +482,30 @@
 	})
 }
 
+// A job that ended between the two reads of its state was reported as missing.
+func TestJobThatEndsWhileItsStateIsReadIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fxt := newFixture(t, 1, logstore.Config{})
+		own, pln := fxt.open(), job(1, 1)
+		if err := fxt.submit(own, pln); err != nil {
+			t.Fatal(err)
+		}
+		log := fxt.store.Client()
+		lookup := log.Lookup
+		log.Lookup = func(ctx context.Context, topic string, part int, key string) (statelog.Record, bool, error) {
+			rec, ok, err := lookup(ctx, topic, part, key)
+			if _, err := own.Cancel(ctx, time.Now(), pln.ID); err != nil {
+				t.Error(err)
+			}
+			return rec, ok, err
+		}
+		ste, ok, err := owner.StoredState(t.Context(), log, pool, 0, pln.ID)
+		if !ok || err != nil || ste != jobrecord.Cancelled {
+			t.Errorf("state %s, found %t (%v), want cancelled", ste, ok, err)
+		}
+	})
+}
+
 func TestStoredStateFindsOnlyStoredJobs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fxt := newFixture(t, 1, logstore.Config{})
