Show and cancel jobs only in their own queue

Callers of one queue were shown the job of another queue of the same pool, and could cancel it: owners looked up jobs by id alone. A submission under the id of another queue's job was acknowledged and never ran.

Owners now know the queue of each open job. In another queue it is unknown (410), and its id is refused (keyConflict). Jobs of a queue that is no longer configured are still shown under any queue, as the queue may have a new name.

Not covered: the state of a job that ended before the owner's term, or that is read from the log because no owner answers, is shown in all queues of the pool, as the record of a job's progress doesn't name its queue.

The test failed before:

service_test.go:331: state in another queue: queued true <nil> service_test.go:334: cancel in another queue: true <nil> service_test.go:337: submit to another queue: <nil>, want keyConflict service_test.go:340: job is cancelled (<nil>)

--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -118,13 +118,16 @@
 // answer, the state log is read, so that a job is reported as missing only if it is
 // not stored.
 func (gtw *Gateway) State(ctx context.Context, que queue.Queue, id string) (ste jobrecord.State, found bool, err error) {
-	rep, err := gtw.call(ctx, methodState, request{Pool: que.Pool, ID: id}, func(own *owner.Owner) (reply, error) {
-		ste, ok, err := own.State(id)
+	rep, err := gtw.call(ctx, methodState, request{Pool: que.Pool, Queue: que.Name, ID: id}, func(own *owner.Owner) (reply, error) {
+		ste, ok, err := own.State(que.Name, id)
 		return reply{IsFound: ok, State: ste}, err
 	})
 	if err == nil && rep.IsFound {
 		return rep.State, true, nil
 	}
+	if fault.CodeOf(err) == code.UnknownJob {
+		return 0, false, nil // another queue has it
+	}
 	part := group.PartitionOf(que.Pool, gtw.cfg.Partitions)
 	ctx, cancel := gtw.limitIfCutOff(ctx)
 	defer cancel()
@@ -137,10 +140,13 @@
 
 // Cancel cancels a job. It reports false when there is no such job.
 func (gtw *Gateway) Cancel(ctx context.Context, now time.Time, que queue.Queue, id string) (found bool, err error) {
-	rep, err := gtw.call(ctx, methodCancel, request{Pool: que.Pool, ID: id}, func(own *owner.Owner) (reply, error) {
-		found, err := own.Cancel(ctx, now, id)
+	rep, err := gtw.call(ctx, methodCancel, request{Pool: que.Pool, Queue: que.Name, ID: id}, func(own *owner.Owner) (reply, error) {
+		found, err := own.Cancel(ctx, now, que.Name, id)
 		return reply{IsFound: found}, err
 	})
+	if fault.CodeOf(err) == code.UnknownJob {
+		return false, nil // another queue has it
+	}
 	if err != nil || rep.IsFound {
 		return rep.IsFound, err
 	}
@@ -338,7 +344,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ste, ok, err := own.State(req.ID)
+	ste, ok, err := own.State(req.Queue, req.ID)
 	return reply{IsFound: ok, State: ste}, err
 }
 
@@ -349,7 +355,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	found, err := own.Cancel(ctx, time.Now(), req.ID)
+	found, err := own.Cancel(ctx, time.Now(), req.Queue, req.ID)
 	return reply{IsFound: found}, err
 }
 
--- a/internal/schedule/owner/owner_test.go
+++ b/internal/schedule/owner/owner_test.go
@@ -107,7 +107,7 @@
 	fxt.t.Helper()
 	limit := time.Now().Add(within)
 	for {
-		ste, _, err := own.State(id)
+		ste, _, err := own.State("passes", id)
 		if err == nil && ste == jobrecord.Completed {
 			return
 		}
@@ -205,7 +205,7 @@
 		}
 		mode.Store(int32(logstore.None))
 		time.Sleep(5 * time.Second)
-		if _, ok, _ := own.State(job(1, 2).ID); ok {
+		if _, ok, _ := own.State("passes", job(1, 2).ID); ok {
 			t.Error("the owner knows a refused job")
 		}
 		fxt.checkInvariants()
@@ -359,6 +359,26 @@
 	}
 }
 
+// A queue that gets a new name keeps its callers' jobs.
+func TestJobOfRemovedQueueIsShown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fxt := newFixture(t, 0, logstore.Config{})
+		own := fxt.open()
+		fxt.submitAll(own, 1)
+		renamed := queue.Queue{Name: "renamed", Pool: pool, MaxAttempts: 3}
+		for version, want := range map[int64]bool{2: false, 3: true} {
+			queues := []queue.Queue{renamed}
+			if !want {
+				queues = append(queues, queue.Queue{Name: "passes", Pool: pool, MaxAttempts: 3})
+			}
+			own.SetTable(queue.NewTable(version, queues, []queue.Pool{{Name: pool}}))
+			if _, ok, err := own.State("renamed", job(0, 1).ID); ok != want {
+				t.Errorf("version %d: shown %v (%v), want %v", version, ok, err, want)
+			}
+		}
+	})
+}
+
 func TestTasksOfUnresponsiveVMWaitForLeaseExpiry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fxt := newFixture(t, 2, logstore.Config{})
@@ -467,7 +487,7 @@
 			t.Fatal(err)
 		}
 		time.Sleep(100 * time.Millisecond)
-		found, err := own.Cancel(t.Context(), time.Now(), job(1, 4).ID)
+		found, err := own.Cancel(t.Context(), time.Now(), "passes", job(1, 4).ID)
 		if !found || err != nil {
 			t.Fatalf("cancel: %v %v", found, err)
 		}
@@ -475,7 +495,7 @@
 		if got := fxt.fleet.CountRunning(time.Now(), "vm-0"); got != 0 {
 			t.Errorf("%d tasks run after the cancellation", got)
 		}
-		if found, err := own.Cancel(t.Context(), time.Now(), job(7, 1).ID); found || err != nil {
+		if found, err := own.Cancel(t.Context(), time.Now(), "passes", job(7, 1).ID); found || err != nil {
 			t.Errorf("cancel of an unknown job: %v %v", found, err)
 		}
 		fxt.checkInvariants()
--- a/internal/schedule/owner/requests.go
+++ b/internal/schedule/owner/requests.go
@@ -14,6 +14,10 @@
 // may be stored. A repeated submission of the same job has no effect.
 func (own *Owner) Submit(ctx context.Context, now time.Time, pln *plan.Plan, queue string) error {
 	own.mu.Lock()
+	if own.isOfOtherQueue(pln.ID, queue) {
+		own.mu.Unlock()
+		return fault.New(code.KeyConflict, "another queue has a job %s", pln.ID)
+	}
 	if _, ok := own.sch.State(pln.ID); ok {
 		own.mu.Unlock()
 		return nil
@@ -65,14 +69,37 @@
 	}
 }
 
+// isOfOtherQueue reports whether the job was submitted to another queue. Jobs of a queue that
+// is no longer configured belong to all queues, as it may have a new name. The caller
+// holds the lock.
+func (own *Owner) isOfOtherQueue(id, queue string) bool {
+	name, ok := own.queues[id]
+	if sub, isPending := own.pending[id]; isPending {
+		name, ok = sub.job.Queue, true
+	}
+	if !ok || name == queue || own.table == nil {
+		return false
+	}
+	_, isConfigured := own.table.ByName(name)
+	return isConfigured
+}
+
+func newUnknownJob(queue, id string) error {
+	return fault.New(code.UnknownJob, "the queue %s has no job %s", queue, id)
+}
+
 // State returns the stored state of a job, Queued for a submission that is still
-// being stored. It reports false when the owner knows neither.
-func (own *Owner) State(id string) (ste jobrecord.State, ok bool, err error) {
+// being stored. It reports false when the owner knows neither, and fails with code
+// UnknownJob if another queue has the job.
+func (own *Owner) State(queue, id string) (ste jobrecord.State, ok bool, err error) {
 	own.mu.Lock()
 	defer own.mu.Unlock()
 	if own.isEnding() {
 		return 0, false, fault.New(code.NotReady, "the pool changes its owner")
 	}
+	if own.isOfOtherQueue(id, queue) {
+		return 0, false, newUnknownJob(queue, id)
+	}
 	if _, isPending := own.pending[id]; isPending {
 		return jobrecord.Queued, true, nil
 	}
@@ -81,13 +108,17 @@
 }
 
 // Cancel cancels a job and returns when that is stored. It reports false when there
-// is no such job.
-func (own *Owner) Cancel(ctx context.Context, now time.Time, id string) (found bool, err error) {
+// is no such job, and fails with code UnknownJob if another queue has it.
+func (own *Owner) Cancel(ctx context.Context, now time.Time, queue, id string) (found bool, err error) {
 	own.mu.Lock()
 	if own.isEnding() {
 		own.mu.Unlock()
 		return false, fault.New(code.NotReady, "the pool changes its owner")
 	}
+	if own.isOfOtherQueue(id, queue) {
+		own.mu.Unlock()
+		return false, newUnknownJob(queue, id)
+	}
 	if sub, isPending := own.pending[id]; isPending {
 		own.mu.Unlock()
 		select {
--- a/internal/schedule/service/service_test.go
+++ b/internal/schedule/service/service_test.go
@@ -18,6 +18,8 @@
 	"daisywheel/internal/job/plan"
 	"daisywheel/internal/job/task"
 	"daisywheel/internal/peer/rpc"
+	"daisywheel/internal/result/code"
+	"daisywheel/internal/result/fault"
 	"daisywheel/internal/schedule/jobrecord"
 	"daisywheel/internal/schedule/service"
 	"daisywheel/internal/schedule/statelog"
@@ -317,6 +319,29 @@
 	}
 }
 
+// The callers of one queue were shown the job of another queue of the same pool, and could
+// cancel it.
+func TestJobIsUnknownInOtherQueues(t *testing.T) {
+	ste := startSite(t, 2)
+	ste.submit(ste.entries[0], job(1))
+	other := passes
+	other.Name = "other"
+	for _, svc := range ste.entries {
+		if state, found, err := svc.Gateway().State(t.Context(), other, job(1).ID); found || err != nil {
+			t.Errorf("state in another queue: %v %v %v", state, found, err)
+		}
+		if found, err := svc.Gateway().Cancel(t.Context(), time.Now(), other, job(1).ID); found || err != nil {
+			t.Errorf("cancel in another queue: %v %v", found, err)
+		}
+		if err := svc.Gateway().Submit(t.Context(), time.Now(), other, job(1)); fault.CodeOf(err) != code.KeyConflict {
+			t.Errorf("submit to another queue: %v, want keyConflict", err)
+		}
+	}
+	ste.await(ste.entries[0], job(1).ID)
+	ste.stop()
+	ste.checkInvariants()
+}
+
 func TestPoolGoesToTheLargestEntry(t *testing.T) {
 	ste := startSite(t, 0)
 	small := ste.startEntry(192)
