--- a/internal/schedule/owner/append.go
+++ b/internal/schedule/owner/append.go
@@ -91,7 +91,6 @@
 	}
 	bat.records = own.addVMs(now, bat.records, &bat.changes)
 	for _, id := range own.sch.DropEndedJobs(now) {
-		delete(own.queues, id)
 		bat.records = append(bat.records, statelog.Record{Key: progressKey(own.cfg.Pool, id)})
 	}
 	if len(bat.records) == 0 {
@@ -192,7 +191,6 @@
 	own.mu.Lock()
 	defer own.mu.Unlock()
 	for _, sub := range bat.subs {
-		own.queues[sub.job.Plan.ID] = sub.job.Queue
 		own.sch.Accept(now, sub.job)
 		own.resolve(sub, nil)
 		own.event(now, "jobStored", slog.String("job", sub.job.Plan.ID), slog.String("queue", sub.job.Queue),
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -67,8 +67,7 @@
 	mu           sync.Mutex
 	sch          *poolscheduler.Scheduler
 	table        *queue.Table
-	queues       map[string]string // by job: the queue that it was submitted to, as far as known
-	polled       map[string]bool   // VMs that have a poll loop
+	polled       map[string]bool // VMs that have a poll loop
 	pending      map[string]*submission
 	queued       []*submission // not yet in a batch
 	refusals     *refusal.Refusals
@@ -108,7 +107,7 @@
 		return nil, err
 	}
 	own := &Owner{
-		cfg: cfg, fencingToken: clm.FencingToken(), table: cfg.Table, queues: map[string]string{}, polled: map[string]bool{}, pending: map[string]*submission{}, refusals: refusal.New(),
+		cfg: cfg, fencingToken: clm.FencingToken(), table: cfg.Table, polled: map[string]bool{}, pending: map[string]*submission{}, refusals: refusal.New(),
 		planRequested: make(chan struct{}, 1), flushRequested: make(chan struct{}, 1), claimCheckRequested: make(chan struct{}, 1), confirmed: cnf,
 		quit: make(chan struct{}), lost: make(chan struct{}), done: make(chan struct{}),
 	}
@@ -184,7 +183,6 @@
 		}
 	}
 	for id, jb := range jobs {
-		own.queues[id] = jb.Queue
 		own.sch.RestoreJob(now, id, jb, progress[id])
 		delete(progress, id)
 	}
--- a/internal/schedule/owner/owner_test.go
+++ b/internal/schedule/owner/owner_test.go
@@ -514,7 +514,7 @@
 		lookup := log.Lookup
 		log.Lookup = func(ctx context.Context, topic string, part int, key string) (statelog.Record, bool, error) {
 			rec, ok, err := lookup(ctx, topic, part, key)
-			if _, err := own.Cancel(ctx, time.Now(), pln.ID); err != nil {
+			if _, err := own.Cancel(ctx, time.Now(), "passes", pln.ID); err != nil {
 				t.Error(err)
 			}
 			return rec, ok, err
--- a/internal/schedule/owner/requests.go
+++ b/internal/schedule/owner/requests.go
@@ -73,7 +73,7 @@
 // is no longer configured belong to all queues, as it may have a new name. The caller
 // holds the lock.
 func (own *Owner) isOfOtherQueue(id, queue string) bool {
-	name, ok := own.queues[id]
+	name, ok := own.sch.Queue(id)
 	if sub, isPending := own.pending[id]; isPending {
 		name, ok = sub.job.Queue, true
 	}
--- a/internal/schedule/poolscheduler/poolscheduler.go
+++ b/internal/schedule/poolscheduler/poolscheduler.go
@@ -264,6 +264,16 @@
 	return jobrecord.Queued, true
 }
 
+// Queue returns the queue that a job was submitted to. It reports false for an unknown job
+// and for one that ended before this owner's term.
+func (sch *Scheduler) Queue(id string) (name string, ok bool) {
+	jst, ok := sch.jobs[id]
+	if !ok || jst.queue == "" {
+		return "", false
+	}
+	return jst.queue, true
+}
+
 // CountQueued returns the number of jobs of the queue of which no run is known to have
 // begun. Repeating jobs are not counted.
 func (sch *Scheduler) CountQueued(queue string) int {
--- a/test/answers/answers_test.go
+++ b/test/answers/answers_test.go
@@ -319,7 +319,7 @@
 		sok.mu.Lock()
 		jfs.isCancelSent = true
 		sok.mu.Unlock()
-		found, err := hld.owner.Cancel(ctx, time.Now(), jfs.plan.ID)
+		found, err := hld.owner.Cancel(ctx, time.Now(), queueName, jfs.plan.ID)
 		return found && err == nil
 	})
 }
@@ -339,7 +339,7 @@
 		}
 		drawn := int(sok.draw("stored", sok.now()) * float64(len(sok.jobs)))
 		for i, jfs := range sok.jobs {
-			ste, ok, err := hld.owner.State(jfs.plan.ID)
+			ste, ok, err := hld.owner.State(queueName, jfs.plan.ID)
 			sok.mu.Lock()
 			isLookedUp := !ok && (i == drawn || jfs.isDue(visibleTime))
 			sok.mu.Unlock()
