Order a machine only after it was evacuated for this order

Callers could lose tasks that were placed on a VM just before its machine was ordered away (AVAIL): a new fleet controller, or a new operation on the machine, took the VM for evacuated by a report from before the owner had been told to evacuate it. The VM was free for an earlier operation, and its owner opens it again as soon as a reply no longer names it.

The test failed before: fleetcontroller_test.go:819: ordered on a report from before the evacuation was requested

An operation now notes when the owner was first told to evacuate its VM, and only a later report counts.

--- a/internal/schedule/fleetcontroller/fleetcontroller.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller.go
@@ -203,13 +203,16 @@
 	}
 	ctl.reports[pol.Name] = report{pool: pol, at: now}
 	ctl.arrivals.Observe(now, pol.Name, pol.Arrived)
-	inOperation := make(map[string]bool, len(ctl.operations))
+	inOperation := make(map[string]*operation, len(ctl.operations))
 	for _, opr := range ctl.operations {
-		inOperation[opr.vm] = true
+		inOperation[opr.vm] = opr
 	}
 	for _, vm := range pol.VMs {
-		if inOperation[vm.ID] {
+		if opr := inOperation[vm.ID]; opr != nil {
 			evacuating = append(evacuating, vm.ID)
+			if opr.askedAt.IsZero() {
+				opr.askedAt = now
+			}
 		}
 		if vm.IsUnresponsive && ctl.isEnded(vm.ID) {
 			ended = append(ended, vm.ID)
--- a/internal/schedule/fleetcontroller/fleetcontroller_test.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller_test.go
@@ -796,3 +796,32 @@
 		}
 	})
 }
+
+// A new fleet controller took a VM for evacuated by a report from before it had asked for
+// that. The owner may have opened the VM to tasks again.
+func TestVMEvacuatedForAnEarlierControllerIsNotOrdered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
+		plt.isBusy = map[string]bool{"gate-0": true}
+		wav := maintenance.Wave{Number: 1, Machines: []string{"gate-0"}, Cap: 1, Within: time.Minute}
+		first := openController(t, log, plt, "first")
+		first.RequestWave(time.Now(), wav)
+		plt.runFor(first, 0, 2*time.Second)
+		first.Close()
+		plt.setBusy(nil)
+		second := openController(t, log, plt, "second")
+		second.RequestWave(time.Now(), wav)
+		if evacuating, _ := second.HandleReport(time.Now(), plt.poolReport("gate", 0)); len(evacuating) > 0 {
+			t.Fatalf("told to evacuate %v before the machines are listed", evacuating)
+		}
+		time.Sleep(300 * time.Millisecond) // the owner opens the VM to tasks
+		if len(plt.orders) > 0 {
+			t.Errorf("ordered on a report from before the evacuation was requested: %v", plt.orders)
+		}
+		plt.runFor(second, 0, 3*time.Second)
+		second.Close()
+		if len(plt.orders) != 1 {
+			t.Errorf("%d orders, want one after the evacuation", len(plt.orders))
+		}
+	})
+}
--- a/internal/schedule/fleetcontroller/operation.go
+++ b/internal/schedule/fleetcontroller/operation.go
@@ -14,6 +14,7 @@
 	pool        string // target pool of a move, empty for maintenance
 	wave        int64  // number of the maintenance wave, 0 for a move
 	startedAt   time.Time
+	askedAt     time.Time // when the owner was first told to evacuate vm for this operation
 	evacuatedVM string    // the incarnation that was evacuated when the last order was sent
 	outcomeAt   time.Time // when the outcome of the last order arrived
 	isOrdered   bool      // an order was carried out, or may have been
@@ -41,7 +42,7 @@
 		case opr.absence.isGone() || isUp && opr.isExecuted && opr.isFinished(requestedAt, isNew) || isNew && opr.wave == 0 && opr.isOrdered:
 			ctl.finish(now, opr, ok)
 		case isNew:
-			opr.vm = mac.VM // restarted, but not by an order
+			opr.vm, opr.askedAt = mac.VM, time.Time{} // restarted, but not by an order
 		}
 	}
 }
@@ -67,7 +68,7 @@
 // expireOperations cancels operations that take too long: the VM cannot be evacuated, or
 // the machine is not up again after a move.
 func (ctl *Controller) expireOperations(now time.Time) {
-	load, evacuated := ctl.load(), ctl.evacuatedVMs(now)
+	load, evacuatedAt := ctl.load(), ctl.evacuatedVMs(now)
 	for name, opr := range ctl.operations {
 		age, limit := now.Sub(opr.startedAt), evacuationTimeout
 		if load[opr.vm].LongRunning > 0 {
@@ -76,7 +77,7 @@
 		switch {
 		case opr.isInFlight || opr.isRestored:
 			continue
-		case opr.wave == 0 && (age > moveTimeout || !opr.isOrdered && age > moveEvacuationTimeout && !evacuated[opr.vm]):
+		case opr.wave == 0 && (age > moveTimeout || !opr.isOrdered && age > moveEvacuationTimeout && !opr.isEvacuated(evacuatedAt)):
 		case opr.wave > 0 && !opr.isOrdered && age > limit && ctl.isAnyEligible(now, ctl.waveOf(opr.wave)):
 			ctl.waveOf(opr.wave).retryAt[name] = now.Add(evacuationRetryDelay)
 		default:
@@ -92,12 +93,12 @@
 // at most ordersPerRound, and marks them as in flight. The VM must be evacuated, unless it
 // is down after an earlier order or belongs to a standby pool.
 func (ctl *Controller) readyOperations(now time.Time) []*operation {
-	evacuated := ctl.evacuatedVMs(now)
+	evacuatedAt := ctl.evacuatedVMs(now)
 	var ready []*operation
 	for _, opr := range ctl.operations {
 		mac, ok := ctl.machines[opr.machine]
 		wasEvacuated := opr.isOrdered && opr.evacuatedVM == opr.vm
-		isEvacuated := evacuated[opr.vm] || wasEvacuated || opr.isRestored && !mac.IsUp || ctl.isStandby(mac.Pool)
+		isEvacuated := opr.isEvacuated(evacuatedAt) || wasEvacuated || opr.isRestored && !mac.IsUp || ctl.isStandby(mac.Pool)
 		if !ok || ctl.isBlocked(now, opr.machine) || !isEvacuated || opr.isExecuted || opr.isInFlight || now.Sub(opr.outcomeAt) < orderRetryDelay {
 			continue
 		}
@@ -113,19 +114,28 @@
 	return ready
 }
 
+// isEvacuated reports whether a recent report of the pool's owner shows that the VM was
+// evacuated for this operation. A report from before the owner was told may stem from an
+// earlier operation, for which the VM is not kept closed any more.
+func (opr *operation) isEvacuated(evacuatedAt map[string]time.Time) bool {
+	return !opr.askedAt.IsZero() && evacuatedAt[opr.vm].After(opr.askedAt)
+}
+
 // evacuatedVMs returns the VMs that are evacuated according to recent reports of the
-// pools' owners.
-func (ctl *Controller) evacuatedVMs(now time.Time) map[string]bool {
-	evacuated := map[string]bool{}
+// pools' owners, and when each report arrived.
+func (ctl *Controller) evacuatedVMs(now time.Time) map[string]time.Time {
+	evacuatedAt := map[string]time.Time{}
 	for _, rpt := range ctl.reports {
 		if now.Sub(rpt.at) > maxReportAge {
 			continue
 		}
 		for _, vm := range rpt.pool.VMs {
-			evacuated[vm.ID] = vm.IsEvacuating && vm.Tasks == 0
+			if vm.IsEvacuating && vm.Tasks == 0 {
+				evacuatedAt[vm.ID] = rpt.at
+			}
 		}
 	}
-	return evacuated
+	return evacuatedAt
 }
 
 // ordersPerRound returns how many orders may be sent in a regular round.
