Keep a wave completed after a change of the fleet controller

The operator saw a completed wave with a machine that is gone as in progress again for 4 s: a new controller did not know yet that the machine is gone. This came with the rule for machines that lists lack. Found in the review; the test failed before: fleetcontroller_test.go:850: reported as in progress by the second controller at Jan 1 00:00:15.040

A wave is not reported as in progress when only such machines are left and others are done.

--- a/internal/schedule/fleetcontroller/fleetcontroller_test.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller_test.go
@@ -825,3 +825,30 @@
 		}
 	})
 }
+
+// A wave with a machine that is gone was shown as in progress again after a change of the
+// fleet controller.
+func TestCompletedWaveStaysCompletedAfterTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
+		delete(plt.pools, "haul-7")
+		wav := maintenance.Wave{Number: 1, Machines: []string{"gate-0", "haul-7"}, Cap: 2, Within: time.Minute}
+		first := openController(t, log, plt, "first")
+		first.RequestWave(time.Now(), wav)
+		plt.runFor(first, 0, 15*time.Second)
+		first.Close()
+		before := len(plt.reports)
+		second := openController(t, log, plt, "second")
+		second.RequestWave(time.Now(), wav)
+		plt.runFor(second, 0, 15*time.Second)
+		second.Close()
+		if plt.completedAt().IsZero() {
+			t.Error("the wave was never reported as completed")
+		}
+		for _, rpt := range plt.reports[before:] {
+			if !rpt.isCompleted {
+				t.Errorf("reported as in progress by the second controller at %s", rpt.at.Format(time.StampMilli))
+			}
+		}
+	})
+}
--- a/internal/schedule/fleetcontroller/wave.go
+++ b/internal/schedule/fleetcontroller/wave.go
@@ -248,7 +248,11 @@
 	if ctl.isCompleted(rpt.wave) {
 		rpt.state = completed
 	}
-	if !rpt.wave.isRequested || rpt.wave.reported >= rpt.state {
+	// An earlier controller may have reported the wave as completed when nothing is left but
+	// machines that are probably gone.
+	due, missing := ctl.countUndone(rpt.wave)
+	isNearlyCompleted := due == 0 && missing > 0 && len(rpt.wave.done) > 0
+	if !rpt.wave.isRequested || rpt.wave.reported >= rpt.state || rpt.state == inProgress && isNearlyCompleted {
 		return rpt, false
 	}
 	rpt.basis = ctl.basis(now, rpt.wave)
