--- a/test/answers/answers_test.go
+++ b/test/answers/answers_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -68,7 +69,7 @@
 	listed     map[string]host.Host // as the platform announces them
 	holders    []*holder            // in the order in which they opened
 	runs       map[task.ID]int      // number of runs that have begun
-	lastRunAt  time.Time
+	lastRunAt  atomic.Int64         // when the last run began, as of begun
 	lines      []string
 	broken     map[string]int // number of breaches by check
 	countsSeen int            // counts that were due to be above 0
@@ -188,7 +189,7 @@
 	sok.mu.Lock()
 	defer sok.mu.Unlock()
 	jfs := sok.byID[tid.Job]
-	sok.lastRunAt = time.Now()
+	sok.lastRunAt.Store(int64(sok.now()))
 	if jfs.begunAt.IsZero() {
 		jfs.begunAt = time.Now()
 		sok.note("a run of job %s begins", tid.Job)
@@ -263,7 +264,7 @@
 
 // isIdle reports whether nothing is left to run.
 func (sok *soak) isIdle() bool {
-	return sok.now() > faultTime+idleTime && time.Since(sok.lastRunAt) > idleTime
+	return sok.now() > max(faultTime, time.Duration(sok.lastRunAt.Load()))+idleTime
 }
 
 // call calls an owner, at most 60 times, until the call is done: the newest one, or at times a
