Ask for jobs in another queue in the fault test of answers

An ended job is shown in any queue of its pool after a change of owner: its progress record does not name its queue, so the restored job belongs to none.

--- a/test/answers/answers_test.go
+++ b/test/answers/answers_test.go
@@ -36,6 +36,7 @@
 const (
 	pool        = "gate"
 	queueName   = "passes"
+	otherQueue  = "tickets" // of the same pool; nobody submits to it
 	maxAttempts = 3
 	callTimeout = 2 * time.Second
 	retention   = 10 * time.Minute // of final states
@@ -341,7 +342,11 @@
 		drawn := int(sok.draw("stored", sok.now()) * float64(len(sok.jobs)))
 		for i, jfs := range sok.jobs {
 			ste, ok, err := hld.owner.State(queueName, jfs.plan.ID)
+			_, isOther, otherErr := hld.owner.State(otherQueue, jfs.plan.ID)
 			sok.mu.Lock()
+			if isOther && otherErr == nil {
+				sok.breach("a job is shown in another queue", hld, "", []string{jfs.plan.ID})
+			}
 			isLookedUp := !ok && (i == drawn || jfs.isDue(visibleTime))
 			sok.mu.Unlock()
 			if err != nil || !ok && !isLookedUp {
