Show a wave that is requested again as in progress at once

A completed wave that was requested again with a machine which no list showed yet stayed completed for the operator until the machine was listed. This came with the rule that a new controller does not report such a wave as in progress.

The rule no longer holds for a request that has replaced another.

--- a/internal/schedule/fleetcontroller/fleetcontroller_test.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller_test.go
@@ -852,3 +852,25 @@
 		}
 	})
 }
+
+// A completed wave was requested again with a machine that no list showed yet, and its state
+// stayed completed until the machine was listed.
+func TestWaveRequestedAgainWithUnlistedMachineIsInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, plt, began := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul"), time.Now()
+		plt.isHidden = func(machine string) bool { return machine == "haul-7" && time.Since(began) < 8*time.Second }
+		ctl := openController(t, log, plt, "first")
+		ctl.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: []string{"gate-0"}, Cap: 1, Within: time.Minute})
+		plt.runFor(ctl, 0, 5*time.Second)
+		ctl.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: []string{"gate-0", "haul-7"}, Cap: 2, Within: time.Minute})
+		plt.runFor(ctl, 0, time.Second)
+		if plt.reports[len(plt.reports)-1].isCompleted {
+			t.Error("still completed 1 s after the wave was requested with another machine")
+		}
+		plt.runFor(ctl, 0, 10*time.Second)
+		ctl.Close()
+		if !plt.reports[len(plt.reports)-1].isCompleted {
+			t.Error("not completed after the maintenance of both machines")
+		}
+	})
+}
--- a/internal/schedule/fleetcontroller/wave.go
+++ b/internal/schedule/fleetcontroller/wave.go
@@ -17,6 +17,7 @@
 type wave struct {
 	request     maintenance.Wave
 	isRequested bool                 // the operator's request is known
+	isReplaced  bool                 // the request has replaced an earlier one
 	requestedAt time.Time            // when the request became known
 	absences    map[string]absence   // machines that the last lists since requestedAt lack
 	done        map[string]bool      // machines whose order was carried out
@@ -74,7 +75,7 @@
 func (ctl *Controller) addWave(now time.Time, req maintenance.Wave) {
 	old := ctl.waveOf(req.Number)
 	ctl.waves[req.Number] = &wave{
-		request: req, isRequested: true, requestedAt: now, absences: map[string]absence{}, done: old.done, retryAt: old.retryAt,
+		request: req, isRequested: true, isReplaced: old.isRequested, requestedAt: now, absences: map[string]absence{}, done: old.done, retryAt: old.retryAt,
 	}
 	ctl.cfg.Journal.Event(now, "waveAsked", slog.Int64("wave", req.Number), slog.Int("machines", len(req.Machines)),
 		slog.Int("cap", req.Cap), slog.Duration("within", req.Within))
@@ -251,7 +252,7 @@
 	// An earlier controller may have reported the wave as completed when nothing is left but
 	// machines that are probably gone.
 	due, missing := ctl.countUndone(rpt.wave)
-	isNearlyCompleted := due == 0 && missing > 0 && len(rpt.wave.done) > 0
+	isNearlyCompleted := due == 0 && missing > 0 && len(rpt.wave.done) > 0 && !rpt.wave.isReplaced
 	if !rpt.wave.isRequested || rpt.wave.reported >= rpt.state || rpt.state == inProgress && isNearlyCompleted {
 		return rpt, false
 	}
