Read lists often while machines that may be gone take the cap of a wave

After a change of the fleet controller a wave with a machine that had left stood still for 9 s, as lists that tell whether the machine is gone came every 3 s. Found in the review; the test failed before: fleetcontroller_test.go:901: the next machine was ordered 9.22s after the takeover

Lists are now read as often as while a wave waits for its last machines.

--- a/internal/schedule/fleetcontroller/fleetcontroller_test.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller_test.go
@@ -874,3 +874,31 @@
 		}
 	})
 }
+
+// A machine that left after its maintenance held up its wave for 9 s after a change of the
+// fleet controller, as lists were read seldom.
+func TestMachineThatHasLeftFreesTheCapSoonAfterTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
+		plt.isBusy = map[string]bool{"gate-1": true}
+		wav := maintenance.Wave{Number: 1, Machines: []string{"gate-0", "gate-1"}, Cap: 1, Within: time.Minute}
+		first := openController(t, log, plt, "first")
+		first.RequestWave(time.Now(), wav)
+		plt.runFor(first, 0, 8*time.Second)
+		plt.mu.Lock()
+		delete(plt.pools, "gate-0")
+		plt.mu.Unlock()
+		plt.runFor(first, 0, 10*time.Second)
+		first.Close()
+		plt.setBusy(nil)
+		takeover := time.Now()
+		second := openController(t, log, plt, "second")
+		second.RequestWave(time.Now(), wav)
+		plt.runFor(second, 0, 20*time.Second)
+		second.Close()
+		// The machine is gone after 4 s of lists; an evacuation and an order follow.
+		if wait := plt.firstOrderAt("gate-1").Sub(takeover); wait < 0 || wait > 6*time.Second {
+			t.Errorf("the next machine was ordered %s after the takeover", wait)
+		}
+	})
+}
--- a/internal/schedule/fleetcontroller/wave.go
+++ b/internal/schedule/fleetcontroller/wave.go
@@ -184,8 +184,7 @@
 		}
 	}
 	for _, name := range wav.request.Machines {
-		_, isListed := ctl.machines[name]
-		if wav.done[name] && !isListed && !wav.absences[name].isGone() && ctl.operations[name] == nil {
+		if wav.done[name] && ctl.isMissing(wav, name) && ctl.operations[name] == nil {
 			count++
 		}
 	}
@@ -303,7 +302,7 @@
 		case wav.done[name]:
 		case isListed:
 			due++
-		case !wav.absences[name].isGone():
+		case ctl.isMissing(wav, name):
 			missing++
 		}
 	}
@@ -331,11 +330,22 @@
 	}
 }
 
-// isAnyWaveHeldUp reports whether a wave is completed except that machines are not listed,
-// which may be gone.
+// isMissing reports whether a machine of the wave is not listed, but may not be gone either.
+func (ctl *Controller) isMissing(wav *wave, name string) bool {
+	_, isListed := ctl.machines[name]
+	return !isListed && !wav.absences[name].isGone()
+}
+
+// isAnyWaveHeldUp reports whether a wave waits to learn whether machines are gone: it is
+// completed but for them, or they count against its cap.
 func (ctl *Controller) isAnyWaveHeldUp() bool {
 	for _, wav := range ctl.waves {
-		if due, missing := ctl.countUndone(wav); wav.reported != completed && due == 0 && missing > 0 {
+		if wav.reported == completed {
+			continue
+		}
+		due, missing := ctl.countUndone(wav)
+		isCapTaken := slices.ContainsFunc(wav.request.Machines, func(name string) bool { return wav.done[name] && ctl.isMissing(wav, name) })
+		if due == 0 && missing > 0 || isCapTaken {
 			return true
 		}
 	}
