Ignore the reports of owners that have been replaced

Callers could lose tasks on a VM whose machine was ordered away (AVAIL): an owner that was paused or cut off reported its pool from memory until it learned of its successor, the fleet controller took either report for the pool's, and the former one said that the VM was free of tasks.

The test failed before: fleetcontroller_test.go:926: orders [... gate-0 first 1] on the report of a former owner

Reports carry the fencing token of the owner's term, and one with a lower token than the pool's latest is ignored and logged. A report without a token, of an entry before this change, counts as before.

--- a/internal/fleet/balance/balance.go
+++ b/internal/fleet/balance/balance.go
@@ -39,6 +39,7 @@
 // Pool is a pool as its owner sees it.
 type Pool struct {
 	Name               string
+	FencingToken       int64        // of the owner that reports the pool; 0 if unknown
 	IsStandby          bool         // its VMs are off
 	Demand             int64        // thousandths of a core that work which can still meet its deadline can use
 	LateDemand         int64        // thousandths of a core that the other work could use
--- a/internal/schedule/fleetcontroller/fleetcontroller.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller.go
@@ -194,10 +194,15 @@
 }
 
 // HandleReport handles a report on the state of a pool. It returns the VMs that the pool should
-// evacuate, and those whose incarnation has ended.
+// evacuate, and those whose incarnation has ended. It ignores the report of an owner that
+// has been replaced by another one that reports.
 func (ctl *Controller) HandleReport(now time.Time, pol balance.Pool) (evacuating, ended []string) {
 	ctl.mu.Lock()
 	defer ctl.mu.Unlock()
+	if latest := ctl.reports[pol.Name].pool.FencingToken; pol.FencingToken > 0 && pol.FencingToken < latest {
+		ctl.cfg.Journal.Event(now, "reportIgnored", slog.String("pool", pol.Name), slog.Int64("fence", pol.FencingToken), slog.Int64("latestFence", latest))
+		return nil, nil
+	}
 	if ctl.isUrgent(pol) {
 		ctl.requestRound()
 	}
--- a/internal/schedule/fleetcontroller/fleetcontroller_test.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller_test.go
@@ -902,3 +902,28 @@
 		}
 	})
 }
+
+// An owner that had been replaced reported from memory that a VM was evacuated, and the machine
+// was ordered although the present owner had a task there.
+func TestReportOfFormerOwnerIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
+		plt.isBusy = map[string]bool{"gate-0": true}
+		ctl := openController(t, log, plt, "first")
+		ctl.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: []string{"gate-0"}, Cap: 1, Within: time.Minute})
+		plt.runFor(ctl, 0, 3*time.Second)
+		present := plt.poolReport("gate", 0)
+		plt.setBusy(nil)
+		former := plt.poolReport("gate", 0)
+		present.FencingToken, former.FencingToken = 9, 5
+		for range 5 {
+			ctl.HandleReport(time.Now(), present)
+			ctl.HandleReport(time.Now(), former)
+			time.Sleep(50 * time.Millisecond)
+		}
+		ctl.Close()
+		if len(plt.orders) > 0 {
+			t.Errorf("orders %v on the report of a former owner", plt.orders)
+		}
+	})
+}
--- a/internal/schedule/poolscheduler/pool.go
+++ b/internal/schedule/poolscheduler/pool.go
@@ -11,7 +11,7 @@
 
 // BalanceInput returns the VMs and the demand of the pool for package balance.
 func (sch *Scheduler) BalanceInput(now time.Time) balance.Pool {
-	pol := balance.Pool{Name: sch.cfg.Name, Arrived: sch.arrived}
+	pol := balance.Pool{Name: sch.cfg.Name, FencingToken: sch.cfg.FencingToken, Arrived: sch.arrived}
 	sch.reported = sch.currentTrigger(now)
 	for _, vst := range sch.sortedVMs() {
 		vm := balance.VM{
--- a/internal/schedule/service/fleet.go
+++ b/internal/schedule/service/fleet.go
@@ -190,6 +190,7 @@
 // the entries' clocks differ.
 type poolJSON struct {
 	Name               string   `json:"name"`
+	FencingToken       int64    `json:"fence,omitempty"`
 	Demand             int64    `json:"wantedMilliCores"`
 	LateDemand         int64    `json:"lateMilliCores,omitempty"`
 	LongRunningDeficit int64    `json:"missingMilliCores,omitempty"`
@@ -222,7 +223,7 @@
 const maxAge = time.Hour
 
 func encodePool(now time.Time, pol balance.Pool) poolJSON {
-	msg := poolJSON{Name: pol.Name, Demand: pol.Demand, LateDemand: pol.LateDemand, LongRunningDeficit: pol.LongRunningDeficit, Work: pol.Arrived.Work, Jobs: pol.Arrived.Jobs, VMs: make([]vmJSON, 0, len(pol.VMs))}
+	msg := poolJSON{Name: pol.Name, FencingToken: pol.FencingToken, Demand: pol.Demand, LateDemand: pol.LateDemand, LongRunningDeficit: pol.LongRunningDeficit, Work: pol.Arrived.Work, Jobs: pol.Arrived.Jobs, VMs: make([]vmJSON, 0, len(pol.VMs))}
 	for _, vm := range pol.VMs {
 		msg.VMs = append(msg.VMs, vmJSON{
 			ID: vm.ID, MilliCores: vm.MilliCores, Tasks: vm.Tasks, LongRunning: vm.LongRunning,
@@ -233,7 +234,7 @@
 }
 
 func decodePool(now time.Time, msg poolJSON) balance.Pool {
-	pol := balance.Pool{Name: msg.Name, Demand: msg.Demand, LateDemand: msg.LateDemand, LongRunningDeficit: msg.LongRunningDeficit, Arrived: arrivals.Sum{Work: msg.Work, Jobs: msg.Jobs}}
+	pol := balance.Pool{Name: msg.Name, FencingToken: msg.FencingToken, Demand: msg.Demand, LateDemand: msg.LateDemand, LongRunningDeficit: msg.LongRunningDeficit, Arrived: arrivals.Sum{Work: msg.Work, Jobs: msg.Jobs}}
 	for _, vm := range msg.VMs {
 		pol.VMs = append(pol.VMs, balance.VM{
 			ID: vm.ID, MilliCores: vm.MilliCores, Tasks: vm.Tasks, LongRunning: vm.LongRunning,
