Store the queue of a job with its progress

Callers of one queue were shown an ended job of another queue of the same pool after a change of owner, as the record that is left of an ended job did not name its queue.

Records without a queue, of entries before this change, are shown in all queues, and so are states that are read from the log because no owner answers.

--- a/internal/schedule/jobrecord/jobrecord.go
+++ b/internal/schedule/jobrecord/jobrecord.go
@@ -51,6 +51,7 @@
 // Progress is the record of a job's progress.
 type Progress struct {
 	State State
+	Queue string    // empty in records of entries that did not store it
 	Ended time.Time // by the owner's wall clock; only meaningful in a final state
 	// Done has one element for each step, of each occurrence, with completed tasks.
 	Done       []DoneTasks
@@ -186,6 +187,7 @@
 
 type progressJSON struct {
 	State      State    `json:"state"`
+	Queue      string   `json:"queue,omitempty"`
 	Ended      int64    `json:"endedMs,omitempty"`
 	Done       [][]int  `json:"done,omitempty"`     // rows: occurrence, step, task indexes...; no indexes: all tasks
 	Failures   [][]int  `json:"failures,omitempty"` // rows: occurrence, step, task index, runs...
@@ -194,7 +196,7 @@
 
 // EncodeProgress returns the JSON record of a job's progress.
 func EncodeProgress(prg Progress) ([]byte, error) {
-	jsn := progressJSON{State: prg.State, ExtraZones: prg.ExtraZones}
+	jsn := progressJSON{State: prg.State, Queue: prg.Queue, ExtraZones: prg.ExtraZones}
 	if prg.State.IsEnded() {
 		jsn.Ended = prg.Ended.UnixMilli()
 	}
@@ -221,7 +223,7 @@
 	if jsn.State < Queued || jsn.State > Cancelled {
 		return Progress{}, errors.Newf("progress record has the state %d", jsn.State)
 	}
-	prg := Progress{State: jsn.State, Ended: time.UnixMilli(jsn.Ended), ExtraZones: jsn.ExtraZones}
+	prg := Progress{State: jsn.State, Queue: jsn.Queue, Ended: time.UnixMilli(jsn.Ended), ExtraZones: jsn.ExtraZones}
 	for _, row := range jsn.Done {
 		if len(row) < 2 {
 			return Progress{}, errors.New("progress record has a row without a step")
--- a/internal/schedule/jobrecord/jobrecord_test.go
+++ b/internal/schedule/jobrecord/jobrecord_test.go
@@ -28,6 +28,7 @@
 		t.Errorf("job %+v (%v), want %+v", got.Plan, err, jb.Plan)
 	}
 	prg := jobrecord.Progress{
+		Queue: "passes",
 		State: jobrecord.Running, Ended: time.UnixMilli(0), Done: []jobrecord.DoneTasks{{Step: 0, IsAll: true, Indexes: []int{}}, {Occurrence: 1, Step: 0, Indexes: []int{1}}},
 		Failures: []jobrecord.Failure{{Step: 1, Index: 0, Runs: []int{1, 1002}}},
 	}
--- a/internal/schedule/poolscheduler/begun_test.go
+++ b/internal/schedule/poolscheduler/begun_test.go
@@ -89,3 +89,15 @@
 	next.RestoreJob(start, jobID, &jb, bat.Updates[0].Progress)
 	checkShown(t, "next owner", next, 1, jobrecord.Queued)
 }
+
+// An ended job was shown in every queue of its pool after a change of owner.
+func TestEndedJobKeepsItsQueueForTheNextOwner(t *testing.T) {
+	sch, _ := newScheduler(true)
+	accept(start, sch, step(1, 1000))
+	sch.Cancel(start, jobID)
+	next, _ := newScheduler(false)
+	next.RestoreJob(start, jobID, nil, sch.TakeBatch().Updates[0].Progress)
+	if name, ok := next.Queue(jobID); name != "q" || !ok {
+		t.Errorf("queue %q (known %t), want q", name, ok)
+	}
+}
--- a/internal/schedule/poolscheduler/poolscheduler.go
+++ b/internal/schedule/poolscheduler/poolscheduler.go
@@ -265,7 +265,7 @@
 }
 
 // Queue returns the queue that a job was submitted to. It reports false for an unknown job
-// and for one that ended before this owner's term.
+// and for one whose record does not name the queue.
 func (sch *Scheduler) Queue(id string) (name string, ok bool) {
 	jst, ok := sch.jobs[id]
 	if !ok || jst.queue == "" {
