Answer entries of earlier versions, which ask for a job without its queue

During a rolling update callers of such entries were told 404 for accepted jobs: the owner took the missing queue for another one. Found in the review; the test failed before: owner_test.go:369: asked by an entry of an earlier version: shown false (401 unknownJob: ...)

--- a/internal/schedule/owner/owner_test.go
+++ b/internal/schedule/owner/owner_test.go
@@ -365,6 +365,9 @@
 		fxt := newFixture(t, 0, logstore.Config{})
 		own := fxt.open()
 		fxt.submitAll(own, 1)
+		if _, ok, err := own.State("", job(0, 1).ID); !ok || err != nil {
+			t.Errorf("asked by an entry of an earlier version: shown %v (%v)", ok, err)
+		}
 		renamed := queue.Queue{Name: "renamed", Pool: pool, MaxAttempts: 3}
 		for version, want := range map[int64]bool{2: false, 3: true} {
 			queues := []queue.Queue{renamed}
--- a/internal/schedule/owner/requests.go
+++ b/internal/schedule/owner/requests.go
@@ -70,14 +70,14 @@
 }
 
 // isOfOtherQueue reports whether the job was submitted to another queue. Jobs of a queue that
-// is no longer configured belong to all queues, as it may have a new name. The caller
-// holds the lock.
+// is no longer configured belong to all queues, as it may have a new name, and entries of
+// earlier versions ask without a queue. The caller holds the lock.
 func (own *Owner) isOfOtherQueue(id, queue string) bool {
 	name, ok := own.sch.Queue(id)
 	if sub, isPending := own.pending[id]; isPending {
 		name, ok = sub.job.Queue, true
 	}
-	if !ok || name == queue || own.table == nil {
+	if !ok || name == queue || queue == "" || own.table == nil {
 		return false
 	}
 	_, isConfigured := own.table.ByName(name)
