--- a/internal/schedule/fleetcontroller/fleetcontroller_test.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller_test.go
@@ -908,7 +908,7 @@
 func TestReportOfFormerOwnerIsIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
-		plt.isBusy = map[string]bool{"gate-0": true}
+		plt.setBusy(map[string]bool{"gate-0": true})
 		ctl := openController(t, log, plt, "first")
 		ctl.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: []string{"gate-0"}, Cap: 1, Within: time.Minute})
 		plt.runFor(ctl, 0, 3*time.Second)
@@ -927,3 +927,41 @@
 		}
 	})
 }
+
+// A wave must not be reported as completed on an order that the platform has not confirmed,
+// nor on the record of one that an earlier controller sent.
+func TestWaveWithUnconfirmedOrderIsNotCompleted(t *testing.T) {
+	for name, out := range map[string]directory.OrderOutcome{
+		"no answer": directory.OrderUnknown, "refused": directory.OrderRefused, "busy": directory.OrderBusy, "throttled": directory.OrderThrottled,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
+				var isConfirming atomic.Bool
+				plt.maintained["1/gate-0"] = true // the platform carries out nothing
+				plt.outcomeOf = func(string) directory.OrderOutcome {
+					if isConfirming.Load() {
+						return directory.OrderDone
+					}
+					return out
+				}
+				req := maintenance.Wave{Number: 1, Machines: []string{"gate-0"}, Cap: 1, Within: time.Minute}
+				for _, holder := range []string{"first", "second"} {
+					ctl := openController(t, log, plt, holder)
+					ctl.RequestWave(time.Now(), req)
+					plt.runFor(ctl, 0, 8*time.Second)
+					isConfirming.Store(holder == "second" && plt.completedAt().IsZero())
+					if isConfirming.Load() {
+						plt.runFor(ctl, 0, 8*time.Second)
+					} else if !plt.completedAt().IsZero() {
+						t.Errorf("the %s controller reported the wave as completed, no order was confirmed", holder)
+					}
+					ctl.Close()
+				}
+				if plt.completedAt().IsZero() {
+					t.Error("the wave was never reported as completed")
+				}
+			})
+		})
+	}
+}
--- a/internal/schedule/owner/count.go
+++ b/internal/schedule/owner/count.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"time"
 
-	"daisywheel/internal/kernel/boottime"
 	"daisywheel/internal/result/code"
 	"daisywheel/internal/result/fault"
 )
@@ -32,14 +31,14 @@
 
 // newConfirmation starts a confirmation. It counts as of its start if the log's answer shows that
 // this owner owns the pool.
-func newConfirmation(now time.Time) confirmation {
-	return confirmation{at: now, sinceBoot: boottime.Now(), checked: make(chan struct{})}
+func newConfirmation(now time.Time, sinceBoot time.Duration) confirmation {
+	return confirmation{at: now, sinceBoot: sinceBoot, checked: make(chan struct{})}
 }
 
 // age returns the time since the confirmation, including time for which the process or its
 // machine was suspended.
-func (cnf confirmation) age(now time.Time) time.Duration {
-	return max(now.Sub(cnf.at), boottime.Now()-cnf.sinceBoot)
+func (cnf confirmation) age(now time.Time, sinceBoot time.Duration) time.Duration {
+	return max(now.Sub(cnf.at), sinceBoot-cnf.sinceBoot)
 }
 
 // endClaimCheck records the end of a check of the claim, with the confirmation that it
@@ -61,7 +60,7 @@
 	own.mu.Lock()
 	defer own.mu.Unlock()
 	now = time.Now() // the wait may have been long
-	age := own.confirmed.age(now)
+	age := own.confirmed.age(now, own.cfg.SinceBoot())
 	attrs := []slog.Attr{slog.String("queue", queue), slog.Int64("fence", own.fencingToken), slog.Duration("confirmed", age)}
 	if own.isEnding() {
 		own.event(now, "queueUncounted", append(attrs, slog.String("reason", "the term is over"))...)
@@ -83,7 +82,7 @@
 	defer cancel()
 	own.mu.Lock()
 	checked := own.confirmed.checked
-	isDue := own.confirmed.age(now) > maxCountAge && now.Sub(own.confirmed.checkedAt) > minClaimCheckPause
+	isDue := own.confirmed.age(now, own.cfg.SinceBoot()) > maxCountAge && now.Sub(own.confirmed.checkedAt) > minClaimCheckPause
 	if isDue {
 		own.requestClaimCheck()
 	}
--- a/internal/schedule/owner/loops.go
+++ b/internal/schedule/owner/loops.go
@@ -137,7 +137,7 @@
 func (own *Owner) claimLoop() {
 	for own.awaitClaimCheck() {
 		sent := time.Now()
-		cnf := newConfirmation(sent)
+		cnf := newConfirmation(sent, own.cfg.SinceBoot())
 		isNewest, err := claim.IsNewest(context.Background(), own.cfg.StateLog, own.cfg.Pool, own.fencingToken)
 		if err == nil && !isNewest {
 			own.loseOwnership(time.Now(), "a later owner has claimed the pool")
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -18,6 +18,7 @@
 	"daisywheel/internal/fleet/balance"
 	"daisywheel/internal/fleet/host"
 	"daisywheel/internal/fleet/queue"
+	"daisywheel/internal/kernel/boottime"
 	"daisywheel/internal/result/code"
 	"daisywheel/internal/result/fault"
 	"daisywheel/internal/schedule/claim"
@@ -58,6 +59,9 @@
 	Table           *queue.Table
 	// RequestReport asks for a report on the pool before its regular time.
 	RequestReport func()
+	// SinceBoot is a clock that also counts the time for which the machine was suspended; nil
+	// stands for boottime.Now.
+	SinceBoot func() time.Duration
 }
 
 // Owner is the owner of a pool for one term. It is safe for concurrent use.
@@ -101,7 +105,10 @@
 // Open claims the pool and restores its jobs. It fails if the state log is
 // unreachable or another owner claims the pool meanwhile.
 func Open(ctx context.Context, now time.Time, cfg Config) (*Owner, error) {
-	cnf := newConfirmation(now)
+	if cfg.SinceBoot == nil {
+		cfg.SinceBoot = boottime.Now
+	}
+	cnf := newConfirmation(now, cfg.SinceBoot())
 	clm, err := claim.Acquire(ctx, cfg.StateLog, cfg.Pool, cfg.Address)
 	if err != nil {
 		return nil, err
--- a/internal/schedule/owner/owner_test.go
+++ b/internal/schedule/owner/owner_test.go
@@ -41,6 +41,9 @@
 	store *logstore.Store
 	fleet *vmfleet.Fleet
 	table *queue.Table
+	begun time.Time
+	// suspended is the time for which the owners' machines were suspended.
+	suspended atomic.Int64 // nanoseconds
 }
 
 func newFixture(t *testing.T, vms int, cfg logstore.Config) *fixture {
@@ -65,7 +68,7 @@
 	}, hosts)
 	tab := queue.NewTable(1, []queue.Queue{{Name: "passes", Pool: pool, MaxAttempts: 3, DeadlineFactor: 1.6, LatencyGoal: time.Second}},
 		[]queue.Pool{{Name: pool}})
-	return &fixture{t: t, store: logstore.New(cfg), fleet: flt, table: tab}
+	return &fixture{t: t, store: logstore.New(cfg), fleet: flt, table: tab, begun: time.Now()}
 }
 
 func (fxt *fixture) open() *owner.Owner {
@@ -76,8 +79,8 @@
 func (fxt *fixture) openWith(log statelog.Client, agt agent.Client) *owner.Owner {
 	fxt.t.Helper()
 	own, err := owner.Open(fxt.t.Context(), time.Now(), owner.Config{
-		RequestReport: func() {},
-		Pool:          pool, Address: "peer", MaxLease: maxLease, StatusRetention: time.Minute, StateLog: log,
+		RequestReport: func() {}, SinceBoot: func() time.Duration { return time.Since(fxt.begun) + time.Duration(fxt.suspended.Load()) },
+		Pool: pool, Address: "peer", MaxLease: maxLease, StatusRetention: time.Minute, StateLog: log,
 		Agent: agt, Journal: journal.New(journal.Config{}), Metrics: metrics.NewSet(), Table: fxt.table,
 	})
 	if err != nil {
@@ -323,6 +326,52 @@
 	}
 }
 
+// The steady clock of a process does not count the time for which its machine was suspended.
+func TestSuspendedOwnerGivesNoCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fxt := newFixture(t, 0, logstore.Config{})
+		var isCut atomic.Bool
+		own := fxt.openWith(fxt.cutLog(&isCut), fxt.fleet.Agent())
+		time.Sleep(1500 * time.Millisecond) // a check has ended, the next one is not due
+		isCut.Store(true)
+		fxt.suspended.Store(int64(5 * time.Second))
+		if count, err := own.CountQueued(t.Context(), time.Now(), "passes"); fault.CodeOf(err) != code.NotReady {
+			t.Errorf("count %d (%v) after 5 s of suspension, want notReady", count, err)
+		}
+	})
+}
+
+// An owner was paused between the log's answer to a check of its claim and the use of the
+// answer. It then took the claim as confirmed now.
+func TestOwnerPausedDuringCheckGivesNoCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fxt := newFixture(t, 0, logstore.Config{})
+		log := fxt.store.Client()
+		var isPaused atomic.Bool
+		lookup := log.Lookup
+		log.Lookup = func(ctx context.Context, topic string, part int, key string) (statelog.Record, bool, error) {
+			rec, ok, err := lookup(ctx, topic, part, key)
+			if isPaused.Load() {
+				time.Sleep(4 * time.Second)
+			}
+			return rec, ok, err
+		}
+		first := fxt.openWith(log, fxt.fleet.Agent())
+		fxt.submitAll(first, 2)
+		isPaused.Store(true)
+		time.Sleep(1100 * time.Millisecond) // a check has been answered
+		second := fxt.open()
+		fxt.submitAll(second, 7)
+		time.Sleep(1500 * time.Millisecond) // the count may be 2 s old
+		for range 60 {
+			if count, err := first.CountQueued(t.Context(), time.Now(), "passes"); fault.CodeOf(err) != code.NotReady {
+				t.Fatalf("the former owner counts %d of 7 jobs (%v), want notReady", count, err)
+			}
+			time.Sleep(70 * time.Millisecond)
+		}
+	})
+}
+
 // Counts must not need the log's answer to each request, and come back with the log.
 func TestOwnerCountsThroughLossOfOneRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
