Store a VM's record again for each incarnation before it gets tasks

A task could run twice (TWICE): a VM restarted under its id, its owner started tasks in the new incarnation, and the next owner started them again elsewhere without waiting for the VM. The stored record named the incarnation before, so the listed one counted as one without tasks of earlier owners.

A new incarnation, listed or reported, now needs its own record before the VM gets tasks, as a new address did.

--- /dev/null
+++ b/internal/schedule/owner/restart_test.go
@@ -0,0 +1,46 @@
+package owner_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"daisywheel/internal/fleet/agent"
+	"daisywheel/internal/job/plan"
+	"daisywheel/internal/standin/logstore"
+)
+
+// An owner starts a task on a VM that has restarted under its id. The next owner reads the VM's
+// record and must wait for its report.
+func TestTaskOnRestartedVMDoesNotRunElsewhereAfterChangeOfOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fxt := newFixture(t, 2, logstore.Config{})
+		first := fxt.open()
+		time.Sleep(time.Second)
+		fxt.fleet.Reboot(time.Now(), "vm-0")
+		fxt.fleet.Reboot(time.Now(), "vm-1")
+		first.SetListedVMs(time.Now(), fxt.fleet.Hosts())
+		time.Sleep(time.Second)
+		longRunning := &plan.Plan{ID: longRunningID, Steps: []plan.Step{{
+			Count: 2, Demand: plan.Demand{MilliCores: 4000, MemoryMB: 100}, IsLongRunning: true, MaxPerVM: 1,
+		}}}
+		if err := fxt.submit(first, longRunning); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		first.Close()
+		fxt.fleet.Reboot(time.Now(), "vm-1") // its task may start again, but not instead of the one on vm-0
+		agt := fxt.fleet.Agent()
+		poll := agt.Poll
+		agt.Poll = func(ctx context.Context, tgt agent.Target, req agent.Poll) (agent.Report, agent.Outcome, error) {
+			if tgt.VM == "vm-0" {
+				time.Sleep(100 * time.Millisecond)
+			}
+			return poll(ctx, tgt, req)
+		}
+		fxt.openWith(fxt.store.Client(), agt)
+		time.Sleep(3 * time.Second)
+		fxt.checkInvariants()
+	})
+}
--- a/internal/schedule/poolscheduler/poolscheduler_test.go
+++ b/internal/schedule/poolscheduler/poolscheduler_test.go
@@ -321,3 +321,34 @@
 		t.Error("no report is due although a VM without tasks is to be evacuated")
 	}
 }
+
+// A VM got tasks in an incarnation that its record did not name. A later owner took the listed
+// incarnation for a new one without tasks.
+func TestVMWithNewIncarnationGetsNoTasksBeforeItsRecordIsStored(t *testing.T) {
+	for name, restart := range map[string]func(sch *poolscheduler.Scheduler){
+		"listed":   func(sch *poolscheduler.Scheduler) { addReported(sch, vm("a", 2)) },
+		"reported": func(sch *poolscheduler.Scheduler) { sch.HandleReport(start, start, "a", agent.Report{Incarnation: 2}) },
+	} {
+		sch, _ := newScheduler(true)
+		addVMs(start, sch, vm("a", 1))
+		restart(sch)
+		accept(start, sch, step(1, 1000))
+		if got := len(starts(sch.Plan(start))); got != 0 {
+			t.Errorf("%s: %d starts before the record is stored", name, got)
+		}
+		bat := sch.TakeBatch()
+		if len(bat.AddedVMs) != 1 || bat.AddedVMs[0].Incarnation != 2 {
+			t.Errorf("%s: records %v, want one with incarnation 2", name, bat.AddedVMs)
+		}
+		sch.CommitBatch(bat)
+		if got := len(starts(sch.Plan(start))); got != 1 {
+			t.Errorf("%s: %d starts after the record is stored", name, got)
+		}
+	}
+}
+
+// addReported lists a VM and lets it report.
+func addReported(sch *poolscheduler.Scheduler, hst host.Host) {
+	sch.SetListedVMs(start, []host.Host{hst})
+	sch.HandleReport(start, start, hst.ID, agent.Report{Incarnation: hst.Incarnation})
+}
--- a/internal/schedule/poolscheduler/record.go
+++ b/internal/schedule/poolscheduler/record.go
@@ -69,7 +69,7 @@
 		}
 	}
 	for _, hst := range bat.AddedVMs {
-		if vst, ok := sch.vms[hst.ID]; ok && vst.host.Address == hst.Address {
+		if vst, ok := sch.vms[hst.ID]; ok && vst.host.Address == hst.Address && hst.Incarnation >= vst.host.Incarnation {
 			vst.isStored = true
 		}
 	}
--- a/internal/schedule/poolscheduler/report.go
+++ b/internal/schedule/poolscheduler/report.go
@@ -103,6 +103,11 @@
 			sch.handleRestart(now, vst, rpt.Incarnation)
 		}
 		vst.incarnation = rpt.Incarnation
+		if rpt.Incarnation > vst.host.Incarnation { // the list does not show it yet
+			vst.host.Incarnation = rpt.Incarnation
+			sch.requestVMRecord(vst)
+			sch.isUrgent = true
+		}
 	}
 	if !vst.hasReported {
 		if !vst.isUnreconciled {
--- a/internal/schedule/poolscheduler/vm.go
+++ b/internal/schedule/poolscheduler/vm.go
@@ -48,9 +48,10 @@
 	if vst.isUnreconciled && hst.Incarnation > vst.host.Incarnation && vst.host.Incarnation != 0 {
 		vst.isUnreconciled = false // a new incarnation runs no tasks of earlier owners
 	}
-	hasNewAddress := vst.host.Address != hst.Address
+	needsRecord := vst.host.Address != hst.Address || hst.Incarnation > vst.host.Incarnation
+	hst.Incarnation = max(hst.Incarnation, vst.host.Incarnation) // the list may lag behind a report
 	vst.host, vst.isListed = hst, true
-	if hasNewAddress {
+	if needsRecord {
 		sch.requestVMRecord(vst)
 	}
 	if hst.Incarnation != 0 && vst.incarnation != 0 && hst.Incarnation > vst.incarnation {
@@ -76,7 +77,7 @@
 }
 
 // requestVMRecord requests that the VM's record be stored. The VM gets no tasks before,
-// so that a later owner knows of all VMs where tasks may run.
+// so that a later owner knows of all VMs, and of their incarnations, where tasks may run.
 func (sch *Scheduler) requestVMRecord(vst *vmState) {
 	vst.isStored = false
 	sch.vmRecordsToWrite[vst.host.ID] = true
