List two faults that are not mended as known red, with their tests

A late report of a wave hides that it is completed, and starts that are refused for want of room use up the run numbers of a term.

--- a/internal/schedule/fleetcontroller/fleetcontroller_test.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller_test.go
@@ -965,3 +965,31 @@
 		})
 	}
 }
+
+// The log carried out a first report of a wave seconds late, after the wave was reported as
+// completed, and the operator saw it in progress for good.
+func TestLateReportDoesNotHideCompletedWave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
+		dir := plt.directory()
+		report, calls := dir.ReportWave, atomic.Int32{}
+		dir.ReportWave = func(ctx context.Context, number int64, isCompleted bool) error {
+			if calls.Add(1) > 1 {
+				return report(ctx, number, isCompleted)
+			}
+			go func() {
+				time.Sleep(6 * time.Second)
+				_ = report(context.Background(), number, isCompleted)
+			}()
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		ctl := openControllerWithConfig(t, log, fleetcontroller.Config{Holder: "first", OrderRate: orderRate, Directory: dir, Journal: journal.New(journal.Config{})})
+		ctl.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: []string{"gate-0"}, Cap: 1, Within: time.Minute})
+		plt.runFor(ctl, 0, 20*time.Second)
+		ctl.Close()
+		if last := plt.reports[len(plt.reports)-1]; !last.isCompleted {
+			t.Errorf("the last report says that the completed wave is in progress: %v", plt.reports)
+		}
+	})
+}
--- a/internal/schedule/poolscheduler/begun_test.go
+++ b/internal/schedule/poolscheduler/begun_test.go
@@ -101,3 +101,21 @@
 		t.Errorf("queue %q (known %t), want q", name, ok)
 	}
 }
+
+// A task whose only VM had no room was ordered again at once, each time under the next run
+// number, and in seconds used the numbers of later terms.
+func TestRefusedStartsKeepToTheRunNumbersOfTheTerm(t *testing.T) {
+	const runsPerTerm = 1000 // as in package claim
+	sch, _ := newScheduler(true)
+	addVMs(start, sch, vm("a", 1))
+	accept(start, sch, step(1, 1000))
+	for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(2 * time.Millisecond) {
+		sch.HandleReport(now, now, "a", agent.Report{Incarnation: 1})
+		for _, ord := range starts(sch.Plan(now)) {
+			if ord.Run > runsPerTerm {
+				t.Fatalf("run %d after %s of refusals", ord.Run, now.Sub(start))
+			}
+			sch.HandleStartOutcome(now, ord, agent.Refused)
+		}
+	}
+}
