--- a/internal/schedule/fleetcontroller/fleetcontroller.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller.go
@@ -37,8 +37,8 @@
 	// decide that a VM is evacuated.
 	maxReportAge = 1500 * time.Millisecond
 	// listInterval is the time between machine lists while operations are in progress,
-	// VMs are missing or a wave waits for machines that are not listed. The platform accepts only few list calls a second from all entries
-	// together.
+	// VMs are missing or a wave waits for machines that are not listed. The platform accepts
+	// only few list calls a second from all entries together.
 	listInterval = 400 * time.Millisecond
 	// callTimeout bounds a call to the directory or the log.
 	callTimeout = time.Second
--- a/internal/schedule/fleetcontroller/wave.go
+++ b/internal/schedule/fleetcontroller/wave.go
@@ -1,16 +1,11 @@
 package fleetcontroller
 
 import (
-	"context"
 	"log/slog"
-	"maps"
-	"slices"
-	"strings"
 	"time"
 
 	"daisywheel/internal/fleet/balance"
 	"daisywheel/internal/fleet/maintenance"
-	"daisywheel/internal/kernel/boottime"
 )
 
 // wave is a maintenance wave and its progress. A changed request makes it a new wave.
@@ -25,33 +20,6 @@
 	reported    waveState
 }
 
-// absence is a sequence of consecutive lists that lack a machine.
-type absence struct {
-	lists       int
-	first, last time.Time // when the first and the last of them were requested
-}
-
-// A machine is gone for good when listsToConfirmGone consecutive lists lack it, the first
-// and the last of them at least goneAfter apart. One list is not enough: it may lag behind the
-// platform, and one that is read in pages may skip a machine that moves meanwhile. Machines
-// that a platform loses sight of are back within 2 s; goneAfter is twice that.
-const (
-	listsToConfirmGone = 3
-	goneAfter          = 4 * time.Second
-)
-
-// next returns the absence after another list without the machine.
-func (abs absence) next(requestedAt time.Time) absence {
-	if abs.lists == 0 {
-		abs.first = requestedAt
-	}
-	return absence{abs.lists + 1, abs.first, requestedAt}
-}
-
-func (abs absence) isGone() bool {
-	return abs.lists >= listsToConfirmGone && abs.last.Sub(abs.first) >= goneAfter
-}
-
 type waveState int
 
 const (
@@ -197,95 +165,6 @@
 	return count
 }
 
-// reportWaves reports the state of the waves to the operator when it has changed. A controller
-// that was replaced may know an old request or list, so the term is proved before.
-func (ctl *Controller) reportWaves(now time.Time) {
-	provenAt, due := boottime.Now(), ctl.wavesToReport(now)
-	if len(due) == 0 || !ctl.provesTerm(now) {
-		return
-	}
-	for _, number := range due {
-		rpt, isDue := ctl.dueReport(now, number) // meanwhile the request may have changed
-		if !isDue || boottime.Now()-provenAt > maxProofAge {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-		err := ctl.cfg.Directory.ReportWave(ctx, number, rpt.state == completed)
-		cancel()
-		if err != nil {
-			ctl.cfg.Journal.Warn(now, "waveUnreported", slog.Int64("wave", number), slog.String("error", err.Error()))
-			continue
-		}
-		ctl.mu.Lock()
-		rpt.wave.reported = rpt.state
-		ctl.mu.Unlock()
-		ctl.cfg.Journal.Event(now, "waveReported", append([]slog.Attr{slog.Int64("wave", number), slog.Bool("completed", rpt.state == completed)}, rpt.basis...)...)
-	}
-}
-
-type waveReport struct {
-	wave  *wave
-	state waveState
-	basis []slog.Attr // what the state rests on
-}
-
-// wavesToReport returns the numbers of the waves whose state has to be reported.
-func (ctl *Controller) wavesToReport(now time.Time) []int64 {
-	ctl.mu.Lock()
-	numbers := slices.Collect(maps.Keys(ctl.waves))
-	ctl.mu.Unlock()
-	return slices.DeleteFunc(numbers, func(number int64) bool {
-		_, isDue := ctl.dueReport(now, number)
-		return !isDue
-	})
-}
-
-// dueReport returns the present state of a wave, and whether it has to be reported.
-func (ctl *Controller) dueReport(now time.Time, number int64) (waveReport, bool) {
-	ctl.mu.Lock()
-	defer ctl.mu.Unlock()
-	rpt := waveReport{wave: ctl.waves[number], state: inProgress}
-	if ctl.isCompleted(rpt.wave) {
-		rpt.state = completed
-	}
-	// An earlier controller may have reported the wave as completed when nothing is left but
-	// machines that are probably gone.
-	due, missing := ctl.countUndone(rpt.wave)
-	isNearlyCompleted := due == 0 && missing > 0 && len(rpt.wave.done) > 0 && !rpt.wave.isReplaced
-	if !rpt.wave.isRequested || rpt.wave.reported >= rpt.state || rpt.state == inProgress && isNearlyCompleted {
-		return rpt, false
-	}
-	rpt.basis = ctl.basis(now, rpt.wave)
-	return rpt, true
-}
-
-// basis returns what the state of a wave rests on, for the log. A machine that is neither done
-// nor listed is absent.
-func (ctl *Controller) basis(now time.Time, wav *wave) []slog.Attr {
-	done, absent := 0, []string{}
-	for _, name := range wav.request.Machines {
-		_, isListed := ctl.machines[name]
-		switch {
-		case wav.done[name]:
-			done++
-		case !isListed:
-			absent = append(absent, name)
-		}
-	}
-	listAge := time.Duration(-1) // no list yet
-	if !ctl.listedAt.IsZero() {
-		listAge = now.Sub(ctl.listedAt)
-	}
-	return []slog.Attr{
-		slog.Int("machines", len(wav.request.Machines)), slog.Int("done", done), slog.Int("absent", len(absent)),
-		slog.String("absentMachines", strings.Join(absent[:min(len(absent), maxAbsentLogged)], " ")),
-		slog.Duration("listAge", listAge), slog.Int64("fence", ctl.clm.FencingToken()),
-	}
-}
-
-// maxAbsentLogged bounds how many absent machines a log line names.
-const maxAbsentLogged = 5
-
 // isCompleted reports whether the maintenance order of every machine of the wave was carried
 // out, except for those that are gone for good.
 func (ctl *Controller) isCompleted(wav *wave) bool {
@@ -308,46 +187,3 @@
 	}
 	return due, missing
 }
-
-// countAbsences counts, for each machine of the waves, the consecutive lists without it. The
-// last list was requested at requestedAt. Lists requested before a wave became known say
-// nothing about it, as its machines may have joined since.
-func (ctl *Controller) countAbsences(requestedAt time.Time) {
-	if len(ctl.machines) == 0 {
-		return
-	}
-	for _, wav := range ctl.waves {
-		if !requestedAt.After(wav.requestedAt) {
-			continue
-		}
-		for _, name := range wav.request.Machines {
-			if _, ok := ctl.machines[name]; ok {
-				delete(wav.absences, name)
-				continue
-			}
-			wav.absences[name] = wav.absences[name].next(requestedAt)
-		}
-	}
-}
-
-// isMissing reports whether a machine of the wave is not listed, but may not be gone either.
-func (ctl *Controller) isMissing(wav *wave, name string) bool {
-	_, isListed := ctl.machines[name]
-	return !isListed && !wav.absences[name].isGone()
-}
-
-// isAnyWaveHeldUp reports whether a wave waits to learn whether machines are gone: it is
-// completed but for them, or they count against its cap.
-func (ctl *Controller) isAnyWaveHeldUp() bool {
-	for _, wav := range ctl.waves {
-		if wav.reported == completed {
-			continue
-		}
-		due, missing := ctl.countUndone(wav)
-		isCapTaken := slices.ContainsFunc(wav.request.Machines, func(name string) bool { return wav.done[name] && ctl.isMissing(wav, name) })
-		if due == 0 && missing > 0 || isCapTaken {
-			return true
-		}
-	}
-	return false
-}
--- /dev/null
+++ b/internal/schedule/fleetcontroller/wavereport.go
@@ -0,0 +1,101 @@
+package fleetcontroller
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"daisywheel/internal/kernel/boottime"
+)
+
+// reportWaves reports the state of the waves to the operator when it has changed. A controller
+// that was replaced may know an old request or list, so the term is proved before.
+func (ctl *Controller) reportWaves(now time.Time) {
+	provenAt, due := boottime.Now(), ctl.wavesToReport(now)
+	if len(due) == 0 || !ctl.provesTerm(now) {
+		return
+	}
+	for _, number := range due {
+		rpt, isDue := ctl.dueReport(now, number) // meanwhile the request may have changed
+		if !isDue || boottime.Now()-provenAt > maxProofAge {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		err := ctl.cfg.Directory.ReportWave(ctx, number, rpt.state == completed)
+		cancel()
+		if err != nil {
+			ctl.cfg.Journal.Warn(now, "waveUnreported", slog.Int64("wave", number), slog.String("error", err.Error()))
+			continue
+		}
+		ctl.mu.Lock()
+		rpt.wave.reported = rpt.state
+		ctl.mu.Unlock()
+		ctl.cfg.Journal.Event(now, "waveReported", append([]slog.Attr{slog.Int64("wave", number), slog.Bool("completed", rpt.state == completed)}, rpt.basis...)...)
+	}
+}
+
+type waveReport struct {
+	wave  *wave
+	state waveState
+	basis []slog.Attr // what the state rests on
+}
+
+// wavesToReport returns the numbers of the waves whose state has to be reported.
+func (ctl *Controller) wavesToReport(now time.Time) []int64 {
+	ctl.mu.Lock()
+	numbers := slices.Collect(maps.Keys(ctl.waves))
+	ctl.mu.Unlock()
+	return slices.DeleteFunc(numbers, func(number int64) bool {
+		_, isDue := ctl.dueReport(now, number)
+		return !isDue
+	})
+}
+
+// dueReport returns the present state of a wave, and whether it has to be reported.
+func (ctl *Controller) dueReport(now time.Time, number int64) (waveReport, bool) {
+	ctl.mu.Lock()
+	defer ctl.mu.Unlock()
+	rpt := waveReport{wave: ctl.waves[number], state: inProgress}
+	if ctl.isCompleted(rpt.wave) {
+		rpt.state = completed
+	}
+	// An earlier controller may have reported the wave as completed when nothing is left but
+	// machines that are probably gone.
+	due, missing := ctl.countUndone(rpt.wave)
+	isNearlyCompleted := due == 0 && missing > 0 && len(rpt.wave.done) > 0 && !rpt.wave.isReplaced
+	if !rpt.wave.isRequested || rpt.wave.reported >= rpt.state || rpt.state == inProgress && isNearlyCompleted {
+		return rpt, false
+	}
+	rpt.basis = ctl.basis(now, rpt.wave)
+	return rpt, true
+}
+
+// basis returns what the state of a wave rests on, for the log. A machine that is neither done
+// nor listed is absent.
+func (ctl *Controller) basis(now time.Time, wav *wave) []slog.Attr {
+	done, absent := 0, []string{}
+	for _, name := range wav.request.Machines {
+		_, isListed := ctl.machines[name]
+		switch {
+		case wav.done[name]:
+			done++
+		case !isListed:
+			absent = append(absent, name)
+		}
+	}
+	listAge := time.Duration(-1) // no list yet
+	if !ctl.listedAt.IsZero() {
+		listAge = now.Sub(ctl.listedAt)
+	}
+	return []slog.Attr{
+		slog.Int("machines", len(wav.request.Machines)), slog.Int("done", done), slog.Int("absent", len(absent)),
+		slog.String("absentMachines", strings.Join(absent[:min(len(absent), maxAbsentLogged)], " ")),
+		slog.Duration("listAge", listAge), slog.Int64("fence", ctl.clm.FencingToken()),
+	}
+}
+
+// maxAbsentLogged bounds how many absent machines a log line names.
+const maxAbsentLogged = 5
