--- a/internal/schedule/owner/count.go
+++ b/internal/schedule/owner/count.go
@@ -52,9 +52,9 @@
 	own.confirmed = cnf
 }
 
-// CountQueued returns how many jobs of the queue have not started. It fails unless the
-// ownership was confirmed within maxCountAge: an owner that was paused or is cut off
-// from the log may have a successor, whose jobs it does not know.
+// CountQueued returns how many jobs of the queue have no run that is known to have begun. It
+// fails unless the ownership was confirmed within maxCountAge: an owner that was paused or is
+// cut off from the log may have a successor, whose jobs it does not know.
 func (own *Owner) CountQueued(ctx context.Context, now time.Time, queue string) (int, error) {
 	own.awaitConfirmation(ctx, now)
 	own.mu.Lock()
