--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -7,7 +7,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -55,12 +57,18 @@
 		return couldNot
 	}
 	defer ste.close()
-	time.AfterFunc(115*time.Second, func() {
-		rec.say("the case takes too long")
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		select {
+		case <-stop:
+		case <-time.After(115 * time.Second):
+		}
+		rec.say("the case takes too long or is stopped")
 		rec.close()
 		ste.close()
 		os.Exit(couldNot)
-	})
+	}()
 	isBroken, err := show(ste, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
--- a/review/standin/reborn.go
+++ b/review/standin/reborn.go
@@ -1,24 +1,46 @@
 package main
 
-import "time"
+import (
+	"encoding/json"
+	"time"
+)
 
-// reborn lets one runner lose power for a moment and start again under its id, while short
-// jobs come.
+// reborn lets runners lose power for a moment, one after the other and each twice, and start
+// again under their ids, while short jobs come.
 func reborn(ste *site, isTrouble bool) (bool, error) {
-	cli, err := startSite(ste, "yard", 3, 2, kind{MilliCores: 16000, MemoryMB: 64000})
+	const runners = 8
+	cli, err := startSite(ste, "yard", runners, 2, kind{MilliCores: 16000, MemoryMB: 64000})
 	if err != nil {
 		return false, err
 	}
-	if isTrouble {
-		time.AfterFunc(5*time.Second, func() { ste.runners[0].powerCycle(400 * time.Millisecond) })
-	}
-	accepted := load(cli, "/first/", 100, 400, 25*time.Millisecond, jobBody(1, taskSpec{Ms: 40, CPU: 500, Mem: 100}))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for num := range 2 * runners {
+			time.Sleep(3 * time.Second)
+			if isTrouble {
+				ste.runners[num%runners].powerCycle(400 * time.Millisecond)
+			}
+		}
+	}()
+	accepted := load(cli, "/first/", 100, 820, 67*time.Millisecond, spreadBody(runners, 1, taskSpec{Ms: 40, CPU: 500, Mem: 100}))
+	<-done
 	time.Sleep(4 * time.Second)
 	count := countTwice(ste)
 	ste.rec.say("%d jobs accepted, %d breaks of TWICE", len(accepted), count)
 	return count > 0, nil
 }
 
+// spreadBody is jobBody with at most so many tasks on one runner.
+func spreadBody(count, onOne int, spec taskSpec) []byte {
+	text, _ := json.Marshal(spec)
+	data, _ := json.Marshal(map[string]any{
+		"spec":  string(text),
+		"steps": []map[string]any{{"count": count, "cpu": spec.CPU, "mem_mb": spec.Mem, "estimate_ms": spec.Ms, "anti_affinity": onOne}},
+	})
+	return data
+}
+
 // otherKind lets runners crash one after the other. Each starts again under its id with half
 // of its capacity, while more work waits than the pool holds.
 func otherKind(ste *site, isTrouble bool) (bool, error) {
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -104,22 +104,11 @@
 	}
 	srv := rnr.server
 	rnr.mu.Unlock()
-	go func() { _ = srv.Serve(&gate{Listener: lsn, rnr: rnr}) }()
+	go func() { _ = srv.Serve(lsn) }()
 	rnr.announce()
 	return nil
 }
 
-// gate accepts no connection while the runner is off.
-type gate struct {
-	net.Listener
-	rnr *runner
-}
-
-func (gat *gate) Accept() (net.Conn, error) {
-	gat.rnr.awaitPower()
-	return gat.Listener.Accept()
-}
-
 func (rnr *runner) awaitPower() {
 	rnr.mu.Lock()
 	isOff, powered := rnr.isOff, rnr.powered
@@ -154,8 +143,8 @@
 	rnr.active = map[string]*run{}
 }
 
-// powerCycle takes the power away for a time. Open connections fall silent; the next boot
-// resets those that still send.
+// powerCycle takes the power away for a time. Open connections fall silent, also those that
+// clients open meanwhile; the next boot resets those that still send.
 func (rnr *runner) powerCycle(off time.Duration) {
 	rnr.mu.Lock()
 	rnr.endAll("lost with the runner")
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -172,13 +174,17 @@
 	ste.rec.say("operator puts version %d of the config", ste.config.Version)
 }
 
+// freeAddress returns a free address for a process to listen on. Its port is below those
+// that the kernel gives to outgoing connections, which could take it meanwhile.
 func freeAddress() (string, error) {
-	lsn, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 100 {
+		lsn, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(20000)))
+		if err == nil {
+			defer func() { _ = lsn.Close() }()
+			return lsn.Addr().String(), nil
+		}
 	}
-	defer func() { _ = lsn.Close() }()
-	return lsn.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 func portOf(address string) int {
