--- a/review/standin/job.go
+++ b/review/standin/job.go
@@ -8,6 +8,12 @@
 	"time"
 )
 
+// The service of a deployment at its start, and the path of its queue.
+const (
+	firstService = "yard"
+	firstPath    = "/first/"
+)
+
 var errNotServing = errors.New("the deployment does not serve")
 
 // jobBody returns a job of one step with count tasks that each take the time and the
@@ -24,12 +30,12 @@
 func jobID(num int) string { return fmt.Sprintf("%016x", num) }
 
 // load submits jobs at even times and returns once each was accepted or given up.
-func load(cli *client, prefix string, first, count int, every time.Duration, body []byte) (accepted []int) {
+func load(cli *client, first, count int, every time.Duration, body []byte) (accepted []int) {
 	var mu sync.Mutex
 	var grp sync.WaitGroup
 	for num := first; num < first+count; num++ {
 		grp.Go(func() {
-			if cli.submit(prefix+jobID(num), body, 20*time.Second) {
+			if cli.submit(firstPath+jobID(num), body, 20*time.Second) {
 				mu.Lock()
 				accepted = append(accepted, num)
 				mu.Unlock()
@@ -42,18 +48,18 @@
 }
 
 // startSite starts a deployment with one service and waits until it serves.
-func startSite(ste *site, service string, runners, entries int, knd kind) (*client, error) {
-	if err := ste.startRunners(service, runners, knd); err != nil {
+func startSite(ste *site, runners, entries int, knd kind) (*client, error) {
+	if err := ste.startRunners(firstService, runners, knd); err != nil {
 		return nil, err
 	}
-	ste.putConfig([]routeJSON{route("r-first", "/first/", service)}, service)
+	ste.putConfig([]routeJSON{route("r-first", firstPath, firstService)}, firstService)
 	for range entries {
 		if err := ste.startEntry(); err != nil {
 			return nil, err
 		}
 	}
 	cli := newClient(ste)
-	if !cli.awaitReady("/first/"+jobID(1), jobBody(1, taskSpec{Ms: 40, CPU: 100, Mem: 10})) {
+	if !cli.awaitReady(firstPath+jobID(1), jobBody(1, taskSpec{Ms: 40, CPU: 100, Mem: 10})) {
 		return nil, errNotServing
 	}
 	ste.rec.say("the deployment serves")
--- a/review/standin/reborn.go
+++ b/review/standin/reborn.go
@@ -9,7 +9,7 @@
 // again under their ids, while short jobs come.
 func reborn(ste *site, isTrouble bool) (bool, error) {
 	const runners = 8
-	cli, err := startSite(ste, "yard", runners, 2, kind{MilliCores: 16000, MemoryMB: 64000})
+	cli, err := startSite(ste, runners, 2, kind{MilliCores: 16000, MemoryMB: 64000})
 	if err != nil {
 		return false, err
 	}
@@ -23,7 +23,7 @@
 			}
 		}
 	}()
-	accepted := load(cli, "/first/", 100, 820, 67*time.Millisecond, spreadBody(runners, 1, taskSpec{Ms: 40, CPU: 500, Mem: 100}))
+	accepted := load(cli, 100, 820, 67*time.Millisecond, spreadBody(runners, 1, taskSpec{Ms: 40, CPU: 500, Mem: 100}))
 	<-done
 	time.Sleep(4 * time.Second)
 	count := countTwice(ste)
@@ -45,7 +45,7 @@
 // of its capacity, while more work waits than the pool holds.
 func otherKind(ste *site, isTrouble bool) (bool, error) {
 	large := kind{MilliCores: 16000, MemoryMB: 64000}
-	cli, err := startSite(ste, "yard", 4, 2, large)
+	cli, err := startSite(ste, 4, 2, large)
 	if err != nil {
 		return false, err
 	}
@@ -61,7 +61,7 @@
 		}
 		done <- failed
 	}()
-	accepted := load(cli, "/first/", 100, 250, 100*time.Millisecond, jobBody(6, taskSpec{Ms: 1000, CPU: 2000, Mem: 100}))
+	accepted := load(cli, 100, 250, 100*time.Millisecond, jobBody(6, taskSpec{Ms: 1000, CPU: 2000, Mem: 100}))
 	if err := <-done; err != nil {
 		return false, err
 	}
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -95,9 +95,10 @@
 		ConnState: func(cnn net.Conn, ste http.ConnState) {
 			rnr.mu.Lock()
 			defer rnr.mu.Unlock()
-			if ste == http.StateNew {
+			switch ste {
+			case http.StateNew:
 				rnr.conns[cnn] = true
-			} else if ste == http.StateClosed || ste == http.StateHijacked {
+			case http.StateClosed, http.StateHijacked:
 				delete(rnr.conns, cnn)
 			}
 		},
--- a/review/standin/scheduled.go
+++ b/review/standin/scheduled.go
@@ -48,21 +48,21 @@
 // scheduled jobs fall due. Another entry takes the service over each time.
 func handover(ste *site, isTrouble bool) (bool, error) {
 	const rounds, round, cut, jobs = 8, 8 * time.Second, 5 * time.Second, 20
-	cli, err := startSite(ste, "yard", 3, 2, kind{MilliCores: 16000, MemoryMB: 64000})
+	cli, err := startSite(ste, 3, 2, kind{MilliCores: 16000, MemoryMB: 64000})
 	if err != nil {
 		return false, err
 	}
-	load(cli, "/first/", 10000, 1500, 5*time.Millisecond, jobBody(1, taskSpec{Ms: 30, CPU: 500, Mem: 100}))
+	load(cli, 10000, 1500, 5*time.Millisecond, jobBody(1, taskSpec{Ms: 30, CPU: 500, Mem: 100}))
 	start := time.Now().Add(2 * time.Second)
 	for num := range jobs {
 		body := scheduledBody(start.Add(time.Duration(num)*7*time.Millisecond), 200*time.Millisecond, int(rounds*round/(200*time.Millisecond)), 1, 1, taskSpec{Ms: 30, CPU: 500, Mem: 100})
-		if !cli.submit("/first/"+jobID(1000+num), body, 10*time.Second) {
+		if !cli.submit(firstPath+jobID(1000+num), body, 10*time.Second) {
 			return false, errNotServing
 		}
 	}
 	for range rounds {
 		time.Sleep(round - cut)
-		ent := ste.ownerOf("yard")
+		ent := ste.ownerOf(firstService)
 		if ent == nil {
 			return false, errNotServing
 		}
@@ -79,7 +79,7 @@
 	time.Sleep(10 * time.Second)
 	count, completed := countTwice(ste), 0
 	for num := range jobs {
-		if cli.state(ste.entries[0], "/first/"+jobID(1000+num)) == "completed" {
+		if cli.state(ste.entries[0], firstPath+jobID(1000+num)) == "completed" {
 			completed++
 		}
 	}
@@ -108,7 +108,7 @@
 // overdue submits one scheduled job whose occurrences are all due at once. The platform
 // kills a process that exceeds its memory, and starts it again.
 func overdue(ste *site, isTrouble bool) (bool, error) {
-	cli, err := startSite(ste, "yard", 3, 3, kind{MilliCores: 16000, MemoryMB: 64000})
+	cli, err := startSite(ste, 3, 3, kind{MilliCores: 16000, MemoryMB: 64000})
 	if err != nil {
 		return false, err
 	}
@@ -145,16 +145,16 @@
 		time.AfterFunc(5*time.Second, func() {
 			body := scheduledBody(time.Now().Add(-time.Hour), time.Second, 1000, 1, 2000, taskSpec{Ms: 30, CPU: 2000, Mem: 100})
 			ste.rec.say("a client hands in a scheduled job with 1000 overdue occurrences of 2000 tasks")
-			cli.submit("/first/"+jobID(77), body, 20*time.Second)
+			cli.submit(firstPath+jobID(77), body, 20*time.Second)
 		})
 	}
-	accepted := load(cli, "/first/", 100, 60, 500*time.Millisecond, jobBody(1, taskSpec{Ms: 2000, CPU: 500, Mem: 100}))
+	accepted := load(cli, 100, 60, 500*time.Millisecond, jobBody(1, taskSpec{Ms: 2000, CPU: 500, Mem: 100}))
 	time.Sleep(20 * time.Second)
 	close(quit)
 	grp.Wait()
 	unanswered := 0
 	for _, num := range accepted {
-		if state := cli.state(ste.entries[num%len(ste.entries)], "/first/"+jobID(num)); state != "completed" {
+		if state := cli.state(ste.entries[num%len(ste.entries)], firstPath+jobID(num)); state != "completed" {
 			unanswered++
 		}
 	}
@@ -173,7 +173,7 @@
 // that get no answer.
 func tooLong(ste *site, isTrouble bool) (bool, error) {
 	const interval, often, seldom, steps = 125 * time.Millisecond, 1000, 100, 64
-	cli, err := startSite(ste, "yard", 3, 2, kind{MilliCores: 16000, MemoryMB: 64000})
+	cli, err := startSite(ste, 3, 2, kind{MilliCores: 16000, MemoryMB: 64000})
 	if err != nil {
 		return false, err
 	}
@@ -184,13 +184,13 @@
 	first := time.Now().Add(2 * time.Second)
 	for num := range often / times {
 		due := first.Add(time.Duration(num*times) * interval)
-		if !cli.submit("/first/"+jobID(2000+num), scheduledBody(due, interval, times, steps, 1, taskSpec{Ms: 5, CPU: 10, Mem: 1}), 10*time.Second) {
+		if !cli.submit(firstPath+jobID(2000+num), scheduledBody(due, interval, times, steps, 1, taskSpec{Ms: 5, CPU: 10, Mem: 1}), 10*time.Second) {
 			return false, errNotServing
 		}
 	}
 	var long []int
 	for num := 500; num < 510; num++ {
-		if cli.submit("/first/"+jobID(num), jobBody(1, taskSpec{Ms: 600000, CPU: 10, Mem: 1}), 10*time.Second) {
+		if cli.submit(firstPath+jobID(num), jobBody(1, taskSpec{Ms: 600000, CPU: 10, Mem: 1}), 10*time.Second) {
 			long = append(long, num)
 		}
 	}
@@ -201,7 +201,7 @@
 	for _, num := range long {
 		grp.Go(func() {
 			for end := time.Now().Add(ackTime); time.Now().Before(end); {
-				status, _, _ := cli.do(ste.entries[num%2], http.MethodDelete, "/first/"+jobID(num), nil)
+				status, _, _ := cli.do(ste.entries[num%2], http.MethodDelete, firstPath+jobID(num), nil)
 				if status == http.StatusOK || status == http.StatusGone {
 					return
 				}
@@ -211,7 +211,7 @@
 			unanswered++
 		})
 	}
-	isAccepted := cli.submit("/first/"+jobID(600), jobBody(1, taskSpec{Ms: 40, CPU: 10, Mem: 1}), 5*time.Second)
+	isAccepted := cli.submit(firstPath+jobID(600), jobBody(1, taskSpec{Ms: 40, CPU: 10, Mem: 1}), 5*time.Second)
 	grp.Wait()
 	ste.rec.say("%d jobs accepted, %d cancels without an answer after ack_ms; a job handed in now is accepted: %v", len(long), unanswered, isAccepted)
 	return unanswered >= 3 && 10*unanswered > len(long), nil
@@ -223,24 +223,24 @@
 // moved lets the operator send a queue to another service while its jobs wait and run.
 func moved(ste *site, isTrouble bool) (bool, error) {
 	small := kind{MilliCores: 4000, MemoryMB: 16000}
-	cli, err := startSite(ste, "yard", 2, 2, small)
+	cli, err := startSite(ste, 2, 2, small)
 	if err != nil {
 		return false, err
 	}
 	if err := ste.startRunners("mill", 2, small); err != nil {
 		return false, err
 	}
-	ste.putConfig([]routeJSON{route("r-first", "/first/", "yard")}, "yard", "mill")
+	ste.putConfig([]routeJSON{route("r-first", firstPath, firstService)}, firstService, "mill")
 	time.Sleep(4 * time.Second)
-	accepted := load(cli, "/first/", 100, 12, 20*time.Millisecond, jobBody(2, taskSpec{Ms: 2000, CPU: 2000, Mem: 100}))
+	accepted := load(cli, 100, 12, 20*time.Millisecond, jobBody(2, taskSpec{Ms: 2000, CPU: 2000, Mem: 100}))
 	time.Sleep(time.Second)
 	if isTrouble {
-		ste.putConfig([]routeJSON{route("r-first", "/first/", "mill")}, "yard", "mill")
+		ste.putConfig([]routeJSON{route("r-first", firstPath, "mill")}, firstService, "mill")
 	}
 	time.Sleep(30 * time.Second)
 	states := map[string]int{}
 	for _, num := range accepted {
-		states[cli.state(ste.entries[num%2], "/first/"+jobID(num))]++
+		states[cli.state(ste.entries[num%2], firstPath+jobID(num))]++
 	}
 	ste.mu.Lock()
 	begun := map[string]bool{}
