--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]testCase{
 	"reborn":   reborn,
 	"kind":     otherKind,
+	"foreign":  foreign,
 	"handover": handover,
 	"overdue":  overdue,
 	"long":     tooLong,
