--- a/review/standin/log.go
+++ b/review/standin/log.go
@@ -32,11 +32,14 @@
 }
 
 type logRecord struct {
-	key, value string
-	raw        []byte
+	key string
+	raw []byte
 }
 
+func (rec *logRecord) value() []byte { return rec.raw[1+len(rec.key):] }
+
 type partition struct {
+	isRead    bool // from an offset on, so that records that are not the newest are kept
 	records   []logRecord
 	newest    map[string]int64 // offset by key
 	producers map[string]*producer
@@ -86,7 +89,7 @@
 	key := topic + "#" + part
 	prt, ok := svc.parts[key]
 	if !ok {
-		prt = &partition{newest: map[string]int64{}, producers: map[string]*producer{}}
+		prt = &partition{isRead: topic == "keyed.op" || topic == "keyed.servers", newest: map[string]int64{}, producers: map[string]*producer{}}
 		svc.parts[key] = prt
 	}
 	return prt
@@ -130,7 +133,7 @@
 		if keyEnd > size {
 			return nil, false
 		}
-		recs = append(recs, logRecord{key: string(raw[1:keyEnd]), value: string(raw[keyEnd:]), raw: raw})
+		recs = append(recs, logRecord{key: string(raw[1:keyEnd]), raw: raw})
 		data = data[4+size:]
 	}
 	return recs, true
@@ -189,7 +192,10 @@
 // add appends records. The caller holds the lock.
 func (svc *logService) add(prt *partition, recs []logRecord) {
 	for _, rec := range recs {
-		if rec.value == "" {
+		if old, ok := prt.newest[rec.key]; ok && !prt.isRead {
+			prt.records[old].raw = nil
+		}
+		if len(rec.value()) == 0 {
 			delete(prt.newest, rec.key)
 		} else {
 			prt.newest[rec.key] = int64(len(prt.records))
@@ -205,7 +211,7 @@
 	raw := append([]byte{byte(len(key))}, key...)
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
-	svc.add(svc.partition(topic, "0"), []logRecord{{key: key, value: value, raw: append(raw, value...)}})
+	svc.add(svc.partition(topic, "0"), []logRecord{{key: key, raw: append(raw, value...)}})
 }
 
 func (svc *logService) read(wrt http.ResponseWriter, req *http.Request) {
@@ -261,9 +267,9 @@
 			break
 		}
 		off := prt.newest[key]
-		value := prt.records[off].value
+		value := prt.records[off].value()
 		size += len(value)
-		items = append(items, itemJSON{key, base64.StdEncoding.EncodeToString([]byte(value)), off})
+		items = append(items, itemJSON{key, base64.StdEncoding.EncodeToString(value), off})
 	}
 	answer(wrt, http.StatusOK, map[string]any{"items": items, "has_more": hasMore, "end_offset": len(prt.records)})
 }
