Show double runs of scheduled jobs by planned changes of the owner

Cause: the new owner drops the end of a run whose occurrence it has not opened yet, acknowledges it, and starts the task again; that needs no failure, only a larger entry.

--- a/review/standin/scheduled.go
+++ b/review/standin/scheduled.go
@@ -44,46 +44,52 @@
 	return newest
 }
 
-// handover cuts the entry that runs a service off from the store, again and again, while
-// scheduled jobs fall due. Another entry takes the service over each time.
+// handover adds a larger entry, twice, while scheduled jobs fall due. It takes all services
+// over from a sound owner each time.
 func handover(ste *site, isTrouble bool) (bool, error) {
-	const rounds, round, cut, jobs = 8, 8 * time.Second, 5 * time.Second, 20
-	cli, err := startSite(ste, 3, 2, kind{MilliCores: 16000, MemoryMB: 64000})
+	const jobs, times, interval = 20, 170, 200 * time.Millisecond
+	large := kind{MilliCores: 16000, MemoryMB: 64000}
+	ste.cpuShare = 0.192
+	cli, err := startSite(ste, 2, 2, large)
 	if err != nil {
 		return false, err
 	}
-	load(cli, 10000, 1500, 5*time.Millisecond, jobBody(1, taskSpec{Ms: 30, CPU: 500, Mem: 100}))
-	start := time.Now().Add(2 * time.Second)
-	for num := range jobs {
-		body := scheduledBody(start.Add(time.Duration(num)*7*time.Millisecond), 200*time.Millisecond, int(rounds*round/(200*time.Millisecond)), 1, 1, taskSpec{Ms: 30, CPU: 500, Mem: 100})
-		if !cli.submit(firstPath+jobID(1000+num), body, 10*time.Second) {
-			return false, errNotServing
+	services, routes := []string{firstService}, ste.config.Routes
+	for _, name := range []string{"mill", "depot", "quarry", "common"} {
+		if err := ste.startRunners(name, 2, large); err != nil {
+			return false, err
 		}
-	}
-	for range rounds {
-		time.Sleep(round - cut)
-		ent := ste.ownerOf(firstService)
-		if ent == nil {
+		services, routes = append(services, name), append(routes, route("r-"+name, "/"+name+"/", name))
+	}
+	ste.putConfig(routes, services...)
+	time.Sleep(4 * time.Second)
+	short := taskSpec{Ms: 30, CPU: 500, Mem: 100}
+	load(cli, 10000, 1500, 5*time.Millisecond, jobBody(1, short))
+	start := time.Now().Add(3 * time.Second)
+	for num := range jobs * len(routes) {
+		body := scheduledBody(start.Add(time.Duration(num)*7*time.Millisecond%interval), interval, times, 1, 1, short)
+		if !cli.submit(routes[num%len(routes)].Prefix+jobID(1000+num), body, 10*time.Second) {
 			return false, errNotServing
 		}
+	}
+	for _, share := range []float64{0.4, 0.8} {
+		time.Sleep(12 * time.Second)
 		if isTrouble {
-			ste.rec.say("%s is partitioned from the store", ent.name)
-			ent.link.cut()
-		}
-		time.Sleep(cut)
-		if isTrouble {
-			ste.rec.say("the partition of %s ends", ent.name)
-			ent.link.heal()
+			ste.cpuShare = share
+			ste.rec.say("an entry with %.1f cores is added", share)
+			if err := ste.startEntry(); err != nil {
+				return false, err
+			}
 		}
 	}
-	time.Sleep(10 * time.Second)
+	time.Sleep(20 * time.Second)
 	count, completed := countTwice(ste), 0
-	for num := range jobs {
-		if cli.state(ste.entries[0], firstPath+jobID(1000+num)) == "completed" {
+	for num := range jobs * len(routes) {
+		if cli.state(ste.entries[0], routes[num%len(routes)].Prefix+jobID(1000+num)) == "completed" {
 			completed++
 		}
 	}
-	ste.rec.say("%d of %d scheduled jobs completed, %d breaks of TWICE", completed, jobs, count)
+	ste.rec.say("%d of %d scheduled jobs completed, %d breaks of TWICE", completed, jobs*len(routes), count)
 	return count > 0, nil
 }
 
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -34,6 +34,8 @@
 	mu      sync.Mutex
 	runs    []*run
 	config  configJSON
+	// cpuShare is the share of a core that the next entry has.
+	cpuShare float64
 }
 
 // entry is one process of the project, with a proxy on its way to the store.
@@ -78,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ste := &site{rec: rec, log: newLogService(partitions), dir: dir, quit: make(chan struct{})}
+	ste := &site{rec: rec, cpuShare: 0.4, log: newLogService(partitions), dir: dir, quit: make(chan struct{})}
 	if ste.logAddr, err = serveHTTP(ste.log.handler()); err != nil {
 		return nil, err
 	}
@@ -205,7 +207,7 @@
 port_range: [%d, %d]
 seeds: []
 bootstrap: true
-limits: {cpu_share: 0.4, cores: 1, memory_mb: 284, max_fds: 4100, link_mbps: 1000.0, disk_mb: 0}
+limits: {cpu_share: %.3f, cores: 1, memory_mb: 284, max_fds: 4100, link_mbps: 1000.0, disk_mb: 0}
 discovery: "platform"
 entry: "vip"
 heartbeat_ms: 1500
@@ -236,7 +238,7 @@
 		first, last = last, first
 	}
 	path := filepath.Join(ste.dir, ent.name+".yaml")
-	text := fmt.Sprintf(settings, ent.name, ent.caller, free[1], first, last, lnk.address, partitions, ste.cloud)
+	text := fmt.Sprintf(settings, ent.name, ent.caller, free[1], first, last, ste.cpuShare, lnk.address, partitions, ste.cloud)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
 	}
