Tie runs, acknowledgements and leases to the incarnation of a VM

Cause: an owner learns of a restart up to 250 ms late. It took every run whose start had been answered for one of the old incarnation and started its task elsewhere, though the new one had taken it. And a poll that had timed out was repeated with the number of the last end of the old incarnation, so that the new one forgot ends that it had never listed.

Now a task keeps the incarnation that has reported its run. A restart ends those that the old one has reported; the others stay until the new one reports. Acknowledgements and leases name their incarnation and are sent only over a connection on which it has answered: a connection ends with the process behind it, so they can't reach another. A new owner no longer takes a VM for empty because the list shows a new incarnation, which rests on the same assumption.

--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -76,10 +76,13 @@
 }
 
 // Poll is a poll of a VM: it renews the leases of all its tasks and asks what runs there.
+// The numbers of ends and the clock begin anew with each incarnation. A poll that may reach
+// another one than Incarnation must carry neither Acked nor Until, nor wait.
 type Poll struct {
-	Acked int64         // the VM may drop ends up to this number
-	Until time.Duration // new end of the leases on the VM's clock; 0 does not renew them
-	Wait  time.Duration // how long the VM may wait for an end before it answers
+	Incarnation int64         // that Acked and Until are for; 0 while unknown
+	Acked       int64         // the VM may drop ends up to this number
+	Until       time.Duration // new end of the leases on the VM's clock; 0 does not renew them
+	Wait        time.Duration // how long the VM may wait for an end before it answers
 }
 
 // Report is a VM's reply to a poll: the tasks that run there and those that ended there.
--- a/internal/schedule/owner/loops.go
+++ b/internal/schedule/owner/loops.go
@@ -187,6 +187,7 @@
 func (own *Owner) pollLoop(id string) {
 	isAnswering := true
 	last := agent.Target{}
+	defer func() { own.cfg.Agent.Drop(last.Address) }()
 	for !own.isEnding() {
 		now := time.Now()
 		own.mu.Lock()
@@ -197,9 +198,11 @@
 		count := len(own.polled)
 		own.mu.Unlock()
 		if !ok {
-			own.cfg.Agent.Drop(last.Address)
 			return
 		}
+		if last.Address != "" && last.Address != tgt.Address {
+			own.cfg.Agent.Drop(last.Address)
+		}
 		last = tgt
 		ended, err := own.poll(now, tgt, req)
 		if isAnswering != (err == nil) {
--- a/internal/schedule/owner/restart_test.go
+++ b/internal/schedule/owner/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,3 +45,35 @@
 		fxt.checkInvariants()
 	})
 }
+
+// VMs restart under their ids while short jobs come. An owner learns of a restart from the
+// list of VMs, which lags behind, or from the next poll, as the open one stays silent.
+func TestTasksRunOnceThroughRestartsOfVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const vms, jobs = 6, 120
+		fxt := newFixture(t, vms, logstore.Config{})
+		own := fxt.open()
+		time.Sleep(time.Second)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for num := range 4 * vms {
+				time.Sleep(410 * time.Millisecond)
+				fxt.fleet.Reboot(time.Now(), fmt.Sprintf("vm-%d", num%vms))
+				time.Sleep(250 * time.Millisecond)
+				own.SetListedVMs(time.Now(), fxt.fleet.Hosts())
+			}
+		}()
+		for num := range jobs {
+			if err := fxt.submit(own, job(num, 3)); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(120 * time.Millisecond)
+		}
+		<-done
+		for num := range jobs {
+			fxt.await(own, job(num, 3).ID, 20*time.Second)
+		}
+		fxt.checkInvariants()
+	})
+}
--- a/internal/schedule/poolscheduler/place.go
+++ b/internal/schedule/poolscheduler/place.go
@@ -229,6 +229,7 @@
 
 func (sch *Scheduler) startTask(now time.Time, vst *vmState, tst *taskState, run int) Order {
 	tst.run, tst.phase, tst.startSentAt, tst.startAnsweredAt, tst.isStartUnknown, tst.isAdopted = run, starting, now, time.Time{}, false, false
+	tst.incarnation, tst.isBootUnknown = 0, false
 	tst.step.waitingCount--
 	tst.step.lastStartAt = now
 	vst.addTask(tst)
--- a/internal/schedule/poolscheduler/poll.go
+++ b/internal/schedule/poolscheduler/poll.go
@@ -13,7 +13,7 @@
 	if !ok {
 		return agent.Target{}, agent.Poll{}, false
 	}
-	poll := agent.Poll{Acked: vst.lastEndStored}
+	poll := agent.Poll{Incarnation: vst.incarnation, Acked: vst.lastEndStored}
 	// A poll of a VM that does not answer renews nothing, so that its leases expire by
 	// the owner's clock too.
 	if vst.hasReported && !vst.isUnresponsive {
--- /dev/null
+++ b/internal/schedule/poolscheduler/restart_test.go
@@ -0,0 +1,71 @@
+package poolscheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"daisywheel/internal/fleet/agent"
+	"daisywheel/internal/fleet/host"
+	"daisywheel/internal/job/plan"
+	"daisywheel/internal/job/task"
+	"daisywheel/internal/schedule/jobrecord"
+)
+
+// A VM restarted and took a start order before the owner learned of it. The owner took the
+// run for one of the old incarnation and started the task again beside it.
+func TestRunOfNewIncarnationIsNotStartedAgain(t *testing.T) {
+	run := agent.Run{Task: task.ID{Job: jobID}, Number: 1}
+	for _, tst := range []struct {
+		name     string
+		reported bool // the old incarnation has reported the run
+		report   agent.Report
+		want     int
+	}{
+		{"the new incarnation runs it", false, agent.Report{Incarnation: 2, Active: []agent.Run{run}}, 0},
+		{"it has completed there", false, agent.Report{Incarnation: 2, Ended: []agent.End{{Number: 1, Task: run.Task, Run: 1, Reason: agent.EndedDone}}}, 0},
+		{"the new incarnation does not know it", false, agent.Report{Incarnation: 2}, 1},
+		{"it was one of the old incarnation", true, agent.Report{Incarnation: 2}, 1},
+	} {
+		sch, _ := newScheduler(true)
+		addVMs(start, sch, vm("a", 1))
+		accept(start, sch, step(1, 1000))
+		sch.HandleStartOutcome(start, starts(sch.Plan(start))[0], agent.Done)
+		if tst.reported {
+			sch.HandleReport(start, start, "a", agent.Report{Incarnation: 1, Active: []agent.Run{run}})
+		}
+		learnedAt := start.Add(250 * time.Millisecond)
+		addVMs(learnedAt, sch, vm("b", 1))
+		sch.SetListedVMs(learnedAt, []host.Host{vm("a", 2), vm("b", 1)})
+		confirmedAt := learnedAt.Add(time.Millisecond)
+		sch.ConfirmOwnership(confirmedAt)
+		early := len(starts(sch.Plan(confirmedAt)))
+		if early > 0 && !tst.reported {
+			t.Errorf("%s: started again before the new incarnation has reported", tst.name)
+		}
+		reportedAt := learnedAt.Add(10 * time.Millisecond)
+		sch.HandleReport(reportedAt, reportedAt, "a", tst.report)
+		sch.ConfirmOwnership(reportedAt.Add(time.Millisecond))
+		if got := early + len(starts(sch.Plan(reportedAt.Add(time.Millisecond)))); got != tst.want {
+			t.Errorf("%s: %d more starts, want %d", tst.name, got, tst.want)
+		}
+	}
+}
+
+// A VM restarted while its owner was replaced. The new owner took it for empty, though the
+// former one had started tasks on the new incarnation.
+func TestNewIncarnationInListIsNotTakenForEmpty(t *testing.T) {
+	sch, _ := newScheduler(false)
+	sch.RestoreVM(start, vm("a", 1))
+	job := jobrecord.Job{Queue: "q", FirstAttempt: start, Plan: &plan.Plan{ID: jobID, Steps: []plan.Step{step(1, 1000)}}}
+	sch.RestoreJob(start, jobID, &job, jobrecord.Progress{})
+	sch.SetListedVMs(start, []host.Host{vm("a", 2), vm("b", 1)})
+	sch.CommitBatch(sch.TakeBatch())
+	sch.HandleReport(start, start, "b", agent.Report{Incarnation: 1})
+	if got := len(starts(sch.Plan(start))); got != 0 {
+		t.Errorf("%d starts while a run of the former owner may be on the new incarnation", got)
+	}
+	sch.HandleReport(start, start, "a", agent.Report{Incarnation: 2})
+	if got := len(starts(sch.Plan(start))); got != 1 {
+		t.Errorf("%d starts once all VMs have reported, want 1", got)
+	}
+}
--- a/internal/schedule/poolscheduler/state.go
+++ b/internal/schedule/poolscheduler/state.go
@@ -33,6 +33,8 @@
 	startAnsweredAt  time.Time // when the start order's call returned or a report showed the run; zero before
 	isAdopted        bool      // an earlier owner started the run
 	isStartUnknown   bool      // the start order got no answer, so the run may or may not begin
+	incarnation      int64     // of the VM that has reported the run; 0 before
+	isBootUnknown    bool      // the VM has restarted, and which incarnation took the start order is not known
 	stopSentAt       time.Time
 	stopAckedAt      time.Time
 	failedRuns       []int     // numbers of the runs that count as failed attempts
--- a/internal/schedule/poolscheduler/vm.go
+++ b/internal/schedule/poolscheduler/vm.go
@@ -45,9 +45,6 @@
 	if vst.host.IsDraining != hst.IsDraining {
 		sch.cfg.Event(now, "vmDraining", slog.String("vm", hst.ID), slog.Bool("draining", hst.IsDraining))
 	}
-	if vst.isUnreconciled && hst.Incarnation > vst.host.Incarnation && vst.host.Incarnation != 0 {
-		vst.isUnreconciled = false // a new incarnation runs no tasks of earlier owners
-	}
 	needsRecord := vst.host.Address != hst.Address || hst.Incarnation > vst.host.Incarnation
 	hst.Incarnation = max(hst.Incarnation, vst.host.Incarnation) // the list may lag behind a report
 	vst.host, vst.isListed = hst, true
@@ -115,20 +112,29 @@
 }
 
 // handleRestart handles a new incarnation of the VM: what ran in the old one has ended.
-// A start order without an answer may still reach the new incarnation, so its run is
-// stopped there.
+// The new one may have taken start orders before the owner learned of it, so a run that
+// the old one has not reported stays until a report of the new one shows where it is. A
+// start order without an answer may still reach the new incarnation, so its run is stopped
+// there.
 func (sch *Scheduler) handleRestart(now time.Time, vst *vmState, incarnation int64) {
-	sch.cfg.Event(now, "vmReborn", slog.String("vm", vst.host.ID), slog.Int64("born", incarnation), slog.Int("tasks", len(vst.tasks)))
+	undecided := 0
+	ended := vst.incarnation
 	vst.incarnation, vst.hasReported, vst.isUnreconciled, vst.lastEndSeen, vst.lastEndStored = incarnation, false, false, 0, 0
 	vst.dropUnwantedRuns()
 	for _, tst := range vst.tasks {
-		if tst.phase == starting || tst.isStartUnknown {
-			sch.stopTask(tst)
-			tst.stopAckedAt = time.Time{}
+		if tst.incarnation == ended {
+			sch.markUnconfirmed(now, tst)
 			continue
 		}
-		sch.markUnconfirmed(now, tst)
+		undecided++
+		tst.isBootUnknown = true
+		if tst.isStartUnknown {
+			sch.stopTask(tst)
+		}
+		tst.stopSentAt, tst.stopAckedAt = time.Time{}, time.Time{}
 	}
+	sch.cfg.Event(now, "vmReborn", slog.String("vm", vst.host.ID), slog.Int64("born", incarnation), slog.Int64("ended", ended),
+		slog.Int("tasks", len(vst.tasks)), slog.Int("undecided", undecided))
 }
 
 // markUnconfirmed takes a task off a VM whose incarnation has ended. An owner that was
--- a/internal/standin/vmfleet/vmfleet.go
+++ b/internal/standin/vmfleet/vmfleet.go
@@ -287,13 +287,17 @@
 	if err != nil {
 		return agent.Report{}, out, err
 	}
+	if poll.Incarnation != vmo.host.Incarnation {
+		poll = agent.Poll{}
+	}
 	deadline := time.Now().Add(poll.Wait)
 	for {
 		flt.mu.Lock()
 		now := time.Now()
-		if flt.vms[tgt.VM] != vmo {
+		if flt.vms[tgt.VM] != vmo { // it has been rebooted during the wait, so the connection is silent
 			flt.mu.Unlock()
-			return agent.Report{}, agent.Unknown, ErrNoAnswer // the VM has been rebooted during the wait
+			<-ctx.Done()
+			return agent.Report{}, agent.Unknown, ErrNoAnswer
 		}
 		vmo.advance(now, flt)
 		if tgt.FencingToken < vmo.fencingToken {
