Conclude nothing from a list of ends that is cut

Cause: ends are acknowledged once their effect is stored, and a VM lists only its oldest 500. After 1.5 s of the outage the owner took runs that were neither active nor listed for vanished, stopped them and started their tasks again, until the log was back.

A report now says whether its list is as long as lists get. Such a report shows of no run that it is absent, be it a current one, a stopped one or one of an earlier owner: a new owner starts tasks of older jobs only after a complete list.

--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -90,7 +90,8 @@
 	Incarnation int64 // start of the incarnation, Unix ms
 	Clock       time.Duration
 	Active      []Run
-	Ended       []End
+	Ended       []End // that are not acknowledged, oldest first
+	IsCut       bool  // there may be more ends than Ended has
 }
 
 // Client sends orders to VMs. Its fields are functions that tests replace.
--- a/internal/schedule/owner/owner_test.go
+++ b/internal/schedule/owner/owner_test.go
@@ -408,6 +408,42 @@
 	}
 }
 
+// The log was down until VMs had more ends than they list at a time. Their owner, and one that
+// took over right after the outage, started tasks again that had run.
+func TestTasksRunOnceWhenEndsPileUp(t *testing.T) {
+	for name, isReplaced := range map[string]bool{"same owner": false, "new owner": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkEndsPileUp(t, isReplaced) })
+		})
+	}
+}
+
+func checkEndsPileUp(t *testing.T, isReplaced bool) {
+	var isDown atomic.Bool
+	fxt := newFixture(t, 2, logstore.Config{Fault: func(statelog.AppendRequest) logstore.Fault {
+		if isDown.Load() {
+			return logstore.Down
+		}
+		return logstore.None
+	}})
+	fxt.fleet.SetMaxEnds(10)
+	own := fxt.open()
+	time.Sleep(time.Second)
+	if err := fxt.submit(own, job(1, 60)); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(200 * time.Millisecond)
+	isDown.Store(true)
+	time.Sleep(5 * time.Second)
+	isDown.Store(false)
+	if isReplaced {
+		own.Close()
+		own = fxt.open()
+	}
+	defer fxt.checkInvariants()
+	fxt.await(own, job(1, 60).ID, 40*time.Second)
+}
+
 // A queue that gets a new name keeps its callers' jobs.
 func TestJobOfRemovedQueueIsShown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/schedule/poolscheduler/report.go
+++ b/internal/schedule/poolscheduler/report.go
@@ -113,11 +113,12 @@
 		if !vst.isUnreconciled {
 			vst.firstReportAt = now // a VM that an earlier owner used has not just joined the pool
 		}
-		vst.hasReported, vst.isUnreconciled, vst.heldAt = true, false, now
+		vst.hasReported, vst.heldAt = true, now
 		vst.leaseEnd = laterOf(vst.leaseEnd, now.Add(leaseBound(sch.cfg.MaxLease)))
 		sch.cfg.Event(now, "vmHeld", slog.String("vm", id), slog.Int64("fence", sch.cfg.FencingToken),
 			slog.Int("active", len(rpt.Active)), slog.Int("ended", len(rpt.Ended)))
 	}
+	sch.noteCompleteness(now, vst, rpt)
 	vst.clock, vst.clockAt, vst.lastReportAt, vst.isUnresponsive, vst.isLate = rpt.Clock, now, now, false, false
 	for _, end := range rpt.Ended {
 		if end.Number > vst.lastEndSeen {
@@ -130,7 +131,22 @@
 		activeRuns[run.Task] = run.Number
 		sch.handleActiveRun(now, vst, sent, run)
 	}
-	sch.handleAbsentTasks(now, sent, vst, activeRuns)
+	if !rpt.IsCut {
+		sch.handleAbsentTasks(now, sent, vst, activeRuns)
+	}
+}
+
+// noteCompleteness records whether the report lists all ends of runs. One that does not
+// shows of no run that it is absent, and of no task of an earlier owner that it has not ended.
+func (sch *Scheduler) noteCompleteness(now time.Time, vst *vmState, rpt agent.Report) {
+	if rpt.IsCut != vst.isReportCut {
+		sch.cfg.Event(now, "endsCut", slog.String("vm", vst.host.ID), slog.Bool("cut", rpt.IsCut),
+			slog.Int64("seen", vst.lastEndSeen), slog.Int64("stored", vst.lastEndStored))
+	}
+	vst.isReportCut = rpt.IsCut
+	if !rpt.IsCut {
+		vst.isUnreconciled = false
+	}
 }
 
 // findTask returns the state of a task, or nil if it is unknown or its occurrence is not
@@ -194,8 +210,8 @@
 const unknownPace = -1
 
 // handleAbsentTasks handles the tasks and unwanted runs on the VM that its report does
-// not list. Only a report whose poll was sent after the order's outcome was known shows
-// that a run is absent.
+// not list. Only a report that lists all ends and whose poll was sent after the order's
+// outcome was known shows that a run is absent.
 func (sch *Scheduler) handleAbsentTasks(now, sent time.Time, vst *vmState, activeRuns map[task.ID]int) {
 	for tid, tst := range vst.tasks {
 		if num, ok := activeRuns[tid]; ok && num == tst.run {
--- a/internal/schedule/poolscheduler/state.go
+++ b/internal/schedule/poolscheduler/state.go
@@ -104,6 +104,7 @@
 	isUnreconciled      bool      // tasks of an earlier owner may run there that this owner does not know of
 	heldAt              time.Time // when its current incarnation reported to this owner for the first time
 	hasReported         bool      // its current incarnation has reported to this owner
+	isReportCut         bool      // its last report did not list all ends
 	isLate              bool      // the last poll was not answered in time
 	isUnresponsive      bool      // the last poll failed or a start order did not reach it
 	isEvacuating        bool      // it is to be evacuated for maintenance or a move to another pool
--- a/internal/standin/vmfleet/vmfleet.go
+++ b/internal/standin/vmfleet/vmfleet.go
@@ -36,6 +36,7 @@
 	cfg         Config
 	mu          sync.Mutex
 	vms         map[string]*vm
+	maxEnds     int                // that a report lists
 	completedOn map[task.ID]string // VM whose completed run of the task was acknowledged
 	violations  []string
 	starts      int
@@ -62,7 +63,7 @@
 
 // New returns a Fleet with a VM for each host.
 func New(now time.Time, cfg Config, hosts []host.Host) *Fleet {
-	flt := &Fleet{cfg: cfg, vms: map[string]*vm{}, completedOn: map[task.ID]string{}}
+	flt := &Fleet{cfg: cfg, vms: map[string]*vm{}, maxEnds: 500, completedOn: map[task.ID]string{}}
 	for _, hst := range hosts {
 		flt.vms[hst.ID] = newVM(now, hst)
 	}
@@ -113,6 +114,13 @@
 	flt.vms[id].isCut = isCut
 }
 
+// SetMaxEnds sets how many ends a report lists, 500 by default.
+func (flt *Fleet) SetMaxEnds(count int) {
+	flt.mu.Lock()
+	defer flt.mu.Unlock()
+	flt.maxEnds = count
+}
+
 // DelayStarts makes the VM carry out starts after the delay, without an answer. A delay of
 // 0 ends this.
 func (flt *Fleet) DelayStarts(id string, delay time.Duration) {
@@ -308,7 +316,7 @@
 		vmo.leaseUntil = max(vmo.leaseUntil, poll.Until)
 		flt.acknowledge(vmo, poll.Acked)
 		if len(vmo.unackedEnds) > 0 || !now.Before(deadline) {
-			rpt := vmo.report(now)
+			rpt := vmo.report(now, flt.maxEnds)
 			flt.mu.Unlock()
 			return rpt, agent.Done, nil
 		}
@@ -341,8 +349,11 @@
 	}
 }
 
-func (vmo *vm) report(now time.Time) agent.Report {
-	rpt := agent.Report{Incarnation: vmo.host.Incarnation, Clock: vmo.clock(now), Ended: append([]agent.End(nil), vmo.unackedEnds...)}
+func (vmo *vm) report(now time.Time, maxEnds int) agent.Report {
+	listed := vmo.unackedEnds[:min(len(vmo.unackedEnds), maxEnds)]
+	rpt := agent.Report{
+		Incarnation: vmo.host.Incarnation, Clock: vmo.clock(now), Ended: append([]agent.End(nil), listed...), IsCut: len(listed) == maxEnds,
+	}
 	for tid, rn := range vmo.runs {
 		rpt.Active = append(rpt.Active, agent.Run{Task: tid, Number: rn.number, Percent: 100})
 	}
