--- a/internal/fleet/queue/queue.go
+++ b/internal/fleet/queue/queue.go
@@ -19,6 +19,28 @@
 	DeadlineFactor float64       // the deadline allows DeadlineFactor times the longest chain of steps, plus LatencyGoal
 	LatencyGoal    time.Duration // see DeadlineFactor
 	NeedsAdvice    bool          // the advice service must allow a VM before a task starts there
+	Version        int64         // of the configuration that the queue is from; set by NewTable
+}
+
+// Address returns the host and prefix at which callers ask. It tells queues apart over
+// versions of the configuration, as a queue may get another name.
+func (que *Queue) Address() string { return que.Host + que.Prefix }
+
+// Ref returns the reference to the queue for a request to an owner.
+func (que *Queue) Ref() Ref { return Ref{Name: que.Name, Address: que.Address(), Version: que.Version} }
+
+// Ref names a queue in a request to an owner. Entries of earlier versions of the program
+// send only the name, or none.
+type Ref struct {
+	Name    string
+	Address string
+	Version int64 // of the configuration by which the sender routes; 0 if unknown
+}
+
+// IsSame reports whether both refer to the same queue: callers ask for it at the same
+// address, or it has kept its name.
+func (ref Ref) IsSame(other Ref) bool {
+	return ref.Name == other.Name || ref.Address != "" && ref.Address == other.Address
 }
 
 // Pool is a pool of VMs.
@@ -37,6 +59,9 @@
 // NewTable returns a Table with the queues in the order in which Match tries them.
 func NewTable(version int64, queues []Queue, pools []Pool) *Table {
 	tab := &Table{version: version, queues: append([]Queue(nil), queues...), pools: append([]Pool(nil), pools...)}
+	for i := range tab.queues {
+		tab.queues[i].Version = version
+	}
 	sort.SliceStable(tab.queues, func(i, j int) bool { return len(tab.queues[i].Prefix) > len(tab.queues[j].Prefix) })
 	sort.Slice(tab.pools, func(i, j int) bool { return tab.pools[i].Name < tab.pools[j].Name })
 	return tab
@@ -48,6 +73,9 @@
 // Pools returns the pools in the order of their names.
 func (tab *Table) Pools() []Pool { return tab.pools }
 
+// Queues returns the queues in the order in which Match tries them.
+func (tab *Table) Queues() []Queue { return tab.queues }
+
 // Match returns the queue with the request's host and the longest matching prefix, and
 // the rest of the path.
 func (tab *Table) Match(host, path string) (que Queue, rest string, ok bool) {
@@ -68,3 +96,13 @@
 	}
 	return Queue{}, false
 }
+
+// Find returns the queue with the address of the reference, or else with its name.
+func (tab *Table) Find(ref Ref) (Queue, bool) {
+	for i := range tab.queues {
+		if ref.Address != "" && tab.queues[i].Address() == ref.Address {
+			return tab.queues[i], true
+		}
+	}
+	return tab.ByName(ref.Name)
+}
--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -1,12 +1,14 @@
 // Package gateway forwards callers' requests from any entry to the owner of the
 // pool, in this process or over the peer link. The state of a job can also be read
-// from the state log.
+// from the state log. After the configuration has sent a queue to another pool, its jobs
+// stay with the pool that has accepted them, which is asked too.
 package gateway
 
 import (
 	"context"
 	"encoding/json"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +22,7 @@
 	"daisywheel/internal/schedule/group"
 	"daisywheel/internal/schedule/jobrecord"
 	"daisywheel/internal/schedule/owner"
+	"daisywheel/internal/schedule/poolindex"
 	"daisywheel/internal/schedule/statelog"
 )
 
@@ -43,6 +46,9 @@
 	// callTimeout bounds a call to an owner: twice the time of an append to a state
 	// log that is 60 times slower than usual.
 	callTimeout = 900 * time.Millisecond
+	// repeatTime is how long after a change of a queue's pool callers may repeat submissions
+	// that the former one has accepted.
+	repeatTime = time.Minute
 )
 
 // Names of the RPC methods between entries.
@@ -59,6 +65,7 @@
 	Partitions   int
 	PeerEndpoint *rpc.Endpoint
 	StateLog     statelog.Client
+	PoolIndex    *poolindex.Index
 	Journal      *journal.Journal
 	// LocalOwner returns the pool's owner if it runs in this process, or nil.
 	LocalOwner func(pool string) *owner.Owner
@@ -72,8 +79,15 @@
 	cfg            Config
 	mu             sync.Mutex
 	ownerAddresses map[string]string
-	lookedUpAt     map[string]time.Time // by pool: when the owner was last looked up
-	isLogReachable bool                 // the last lookup succeeded
+	lookedUpAt     map[string]time.Time  // by pool: when the owner was last looked up
+	isLogReachable bool                  // the last lookup succeeded
+	assignments    map[string]assignment // by address of the queue
+}
+
+// assignment is the pool of a queue, and since when this entry knows of it.
+type assignment struct {
+	pool  string
+	since time.Time
 }
 
 // New returns a Gateway and registers its RPC handlers on the peer endpoint.
@@ -86,12 +100,42 @@
 	return gtw
 }
 
+// SetTable applies a new configuration of queues, before requests are routed by it.
+func (gtw *Gateway) SetTable(now time.Time, tab *queue.Table) {
+	gtw.mu.Lock()
+	defer gtw.mu.Unlock()
+	next := map[string]assignment{}
+	for _, que := range tab.Queues() {
+		asg := gtw.assignments[que.Address()]
+		if asg.pool != que.Pool {
+			asg = assignment{pool: que.Pool, since: now}
+		}
+		next[que.Address()] = asg
+	}
+	gtw.assignments = next
+}
+
 // request holds the parameters of all methods.
 type request struct {
-	Pool  string          `json:"service"`
-	Queue string          `json:"queue,omitempty"`
-	ID    string          `json:"id,omitempty"`
-	Job   json.RawMessage `json:"job,omitempty"`
+	Pool    string          `json:"service"`
+	Queue   string          `json:"queue,omitempty"`
+	Address string          `json:"address,omitempty"` // of the queue
+	Version int64           `json:"version,omitempty"` // of the configuration by which the sender routes
+	ID      string          `json:"id,omitempty"`
+	Job     json.RawMessage `json:"job,omitempty"`
+	// MinVersion is the version of the configuration that the owner must have read to
+	// answer. Then it no longer accepts jobs that are routed by earlier ones.
+	MinVersion int64 `json:"minVersion,omitempty"`
+}
+
+// newRequest returns a request about the queue to the pool, which may be a former one of
+// the queue.
+func newRequest(pool string, que queue.Queue, id string) request {
+	return request{Pool: pool, Queue: que.Name, Address: que.Address(), Version: que.Version, ID: id}
+}
+
+func (req *request) queue() queue.Ref {
+	return queue.Ref{Name: req.Queue, Address: req.Address, Version: req.Version}
 }
 
 // reply is the result of all methods.
@@ -101,47 +145,150 @@
 	Count   int             `json:"count"`
 }
 
-// Submit stores a job with the owner of the queue's pool. After a fault with code
-// OutcomeUnknown the job may be stored; after any other error it is not.
+// Submit stores a job with the owner of the queue's pool, unless a former pool of the queue
+// has it. After a fault with code OutcomeUnknown the job may be stored; after any other error
+// it is not.
 func (gtw *Gateway) Submit(ctx context.Context, now time.Time, que queue.Queue, pln *plan.Plan) error {
-	job, err := jobrecord.EncodeJob(jobrecord.Job{Plan: pln, Queue: que.Name, FirstAttempt: now})
+	job, err := jobrecord.EncodeJob(jobrecord.Job{Plan: pln, Queue: que.Name, Address: que.Address(), FirstAttempt: now})
 	if err != nil {
 		return fault.Wrap(err, code.BadShape, "job cannot be stored")
 	}
-	_, err = gtw.call(ctx, methodSubmit, request{Pool: que.Pool, Queue: que.Name, Job: job}, func(own *owner.Owner) (reply, error) {
-		return reply{}, own.Submit(ctx, now, pln, que.Name)
+	isAccepted, err := gtw.isAcceptedBefore(ctx, now, que, pln.ID)
+	if isAccepted || err != nil {
+		return err
+	}
+	req := newRequest(que.Pool, que, "")
+	req.Job = job
+	_, err = gtw.call(ctx, methodSubmit, req, func(own *owner.Owner) (reply, error) {
+		return reply{}, own.Submit(ctx, now, pln, que.Ref())
 	})
 	return err
 }
 
+// isAcceptedBefore reports whether a former pool of the queue has the job, whose submission
+// is then a repetition.
+func (gtw *Gateway) isAcceptedBefore(ctx context.Context, now time.Time, que queue.Queue, id string) (bool, error) {
+	gtw.mu.Lock()
+	asg := gtw.assignments[que.Address()]
+	gtw.mu.Unlock()
+	if now.Sub(asg.since) > repeatTime {
+		return false, nil
+	}
+	pools, err := gtw.formerPools(ctx, now, que)
+	if err != nil {
+		return false, err
+	}
+	for _, pool := range pools {
+		req := newRequest(pool, que, id)
+		req.MinVersion = que.Version
+		_, found, err := gtw.stateIn(ctx, req)
+		if err != nil {
+			return false, fault.Wrap(err, code.NotReady, "whether the pool %s has job %s", pool, id)
+		}
+		if found {
+			gtw.logFormerPool(now, que, pool, id)
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
+func (gtw *Gateway) logFormerPool(now time.Time, que queue.Queue, pool, id string) {
+	gtw.cfg.Journal.Event(now, "jobInFormerPool", slog.String("job", id), slog.String("pool", pool),
+		slog.String("queue", que.Name), slog.Int64("version", que.Version))
+}
+
+// formerPools returns the pools, other than the present one, that have accepted jobs of the
+// queue.
+func (gtw *Gateway) formerPools(ctx context.Context, now time.Time, que queue.Queue) ([]string, error) {
+	gtw.mu.Lock()
+	asg := gtw.assignments[que.Address()]
+	gtw.mu.Unlock()
+	ctx, cancel := gtw.limitIfCutOff(ctx)
+	defer cancel()
+	pools, err := gtw.cfg.PoolIndex.Pools(ctx, now, que.Address(), asg.since)
+	if err != nil {
+		return nil, fault.Wrap(err, code.LogUnavailable, "former pools of the queue %s", que.Name)
+	}
+	return slices.DeleteFunc(pools, func(pool string) bool { return pool == que.Pool }), nil
+}
+
+// allPools returns the queue's pool and its former ones.
+func (gtw *Gateway) allPools(ctx context.Context, que queue.Queue) ([]string, error) {
+	pools, err := gtw.formerPools(ctx, time.Now(), que)
+	return append([]string{que.Pool}, pools...), err
+}
+
 // State returns the state of a job. If the owner does not know the job or does not
 // answer, the state log is read, so that a job is reported as missing only if it is
 // not stored.
 func (gtw *Gateway) State(ctx context.Context, que queue.Queue, id string) (ste jobrecord.State, found bool, err error) {
-	rep, err := gtw.call(ctx, methodState, request{Pool: que.Pool, Queue: que.Name, ID: id}, func(own *owner.Owner) (reply, error) {
-		ste, ok, err := own.State(que.Name, id)
-		return reply{IsFound: ok, State: ste}, err
-	})
+	ste, found, err = gtw.stateIn(ctx, newRequest(que.Pool, que, id))
+	if found || err != nil {
+		return ste, found, err
+	}
+	now := time.Now()
+	pools, err := gtw.formerPools(ctx, now, que)
+	if err != nil {
+		return 0, false, err
+	}
+	for _, pool := range pools {
+		ste, found, err = gtw.stateIn(ctx, newRequest(pool, que, id))
+		if found {
+			gtw.logFormerPool(now, que, pool, id)
+		}
+		if found || err != nil {
+			return ste, found, err
+		}
+	}
+	return 0, false, nil
+}
+
+// stateIn returns the state of a job in one pool.
+func (gtw *Gateway) stateIn(ctx context.Context, req request) (ste jobrecord.State, found bool, err error) {
+	rep, err := gtw.call(ctx, methodState, req, func(own *owner.Owner) (reply, error) { return stateOf(own, req) })
 	if err == nil && rep.IsFound {
 		return rep.State, true, nil
 	}
 	if fault.CodeOf(err) == code.UnknownJob {
 		return 0, false, nil // another queue has it
 	}
-	part := group.PartitionOf(que.Pool, gtw.cfg.Partitions)
+	part := group.PartitionOf(req.Pool, gtw.cfg.Partitions)
 	ctx, cancel := gtw.limitIfCutOff(ctx)
 	defer cancel()
-	ste, found, lookupErr := owner.StoredState(ctx, gtw.cfg.StateLog, que.Pool, part, id)
+	ste, found, lookupErr := owner.StoredState(ctx, gtw.cfg.StateLog, req.Pool, part, req.ID)
 	if lookupErr != nil {
-		return 0, false, fault.Wrap(lookupErr, code.LogUnavailable, "state of job %s", id)
+		return 0, false, fault.Wrap(lookupErr, code.LogUnavailable, "state of job %s", req.ID)
 	}
 	return ste, found, nil
 }
 
 // Cancel cancels a job. It reports false when there is no such job.
 func (gtw *Gateway) Cancel(ctx context.Context, now time.Time, que queue.Queue, id string) (found bool, err error) {
-	rep, err := gtw.call(ctx, methodCancel, request{Pool: que.Pool, Queue: que.Name, ID: id}, func(own *owner.Owner) (reply, error) {
-		found, err := own.Cancel(ctx, now, que.Name, id)
+	found, err = gtw.cancelIn(ctx, now, newRequest(que.Pool, que, id))
+	if found || err != nil {
+		return found, err
+	}
+	pools, err := gtw.formerPools(ctx, now, que)
+	if err != nil {
+		return false, err
+	}
+	for _, pool := range pools {
+		found, err = gtw.cancelIn(ctx, now, newRequest(pool, que, id))
+		if found {
+			gtw.logFormerPool(now, que, pool, id)
+		}
+		if found || err != nil {
+			return found, err
+		}
+	}
+	return false, nil
+}
+
+// cancelIn cancels a job in one pool.
+func (gtw *Gateway) cancelIn(ctx context.Context, now time.Time, req request) (found bool, err error) {
+	rep, err := gtw.call(ctx, methodCancel, req, func(own *owner.Owner) (reply, error) {
+		found, err := own.Cancel(ctx, now, req.queue(), req.ID)
 		return reply{IsFound: found}, err
 	})
 	if fault.CodeOf(err) == code.UnknownJob {
@@ -150,23 +297,35 @@
 	if err != nil || rep.IsFound {
 		return rep.IsFound, err
 	}
-	part := group.PartitionOf(que.Pool, gtw.cfg.Partitions)
-	_, found, err = owner.StoredState(ctx, gtw.cfg.StateLog, que.Pool, part, id)
+	part := group.PartitionOf(req.Pool, gtw.cfg.Partitions)
+	_, found, err = owner.StoredState(ctx, gtw.cfg.StateLog, req.Pool, part, req.ID)
 	if err != nil {
-		return false, fault.Wrap(err, code.LogUnavailable, "state of job %s", id)
+		return false, fault.Wrap(err, code.LogUnavailable, "state of job %s", req.ID)
 	}
 	if found {
-		return true, fault.New(code.NotReady, "the owner of the pool does not know job %s yet", id)
+		return true, fault.New(code.NotReady, "the owner of the pool does not know job %s yet", req.ID)
 	}
 	return false, nil
 }
 
 // Queued returns how many jobs of the queue have not started.
 func (gtw *Gateway) Queued(ctx context.Context, que queue.Queue) (int, error) {
-	rep, err := gtw.call(ctx, methodQueued, request{Pool: que.Pool, Queue: que.Name}, func(own *owner.Owner) (reply, error) {
-		return countQueued(ctx, own, que.Name)
-	})
-	return rep.Count, err
+	pools, err := gtw.allPools(ctx, que)
+	if err != nil {
+		return 0, err
+	}
+	sum := 0
+	for _, pool := range pools {
+		req := newRequest(pool, que, "")
+		rep, err := gtw.call(ctx, methodQueued, req, func(own *owner.Owner) (reply, error) {
+			return countQueued(ctx, own, req.queue())
+		})
+		if err != nil {
+			return 0, err
+		}
+		sum += rep.Count
+	}
+	return sum, nil
 }
 
 // call sends a request to the owner, local or remote. If no owner is found or it
@@ -336,7 +495,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return reply{}, own.Submit(ctx, time.Now(), job.Plan, req.Queue)
+	return reply{}, own.Submit(ctx, time.Now(), job.Plan, req.queue())
 }
 
 func (gtw *Gateway) serveState(_ context.Context, params json.RawMessage) (any, error) {
@@ -344,7 +503,14 @@
 	if err != nil {
 		return nil, err
 	}
-	ste, ok, err := own.State(req.Queue, req.ID)
+	return stateOf(own, req)
+}
+
+func stateOf(own *owner.Owner, req request) (reply, error) {
+	if version := own.ConfigVersion(); version < req.MinVersion {
+		return reply{}, fault.New(code.NotReady, "the owner has read version %d of the configuration, not yet %d", version, req.MinVersion)
+	}
+	ste, ok, err := own.State(req.queue(), req.ID)
 	return reply{IsFound: ok, State: ste}, err
 }
 
@@ -355,7 +521,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	found, err := own.Cancel(ctx, time.Now(), req.Queue, req.ID)
+	found, err := own.Cancel(ctx, time.Now(), req.queue(), req.ID)
 	return reply{IsFound: found}, err
 }
 
@@ -364,10 +530,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return countQueued(ctx, own, req.Queue)
+	return countQueued(ctx, own, req.queue())
 }
 
-func countQueued(ctx context.Context, own *owner.Owner, queue string) (reply, error) {
-	count, err := own.CountQueued(ctx, time.Now(), queue)
+func countQueued(ctx context.Context, own *owner.Owner, ref queue.Ref) (reply, error) {
+	count, err := own.CountQueued(ctx, time.Now(), ref)
 	return reply{Count: count}, err
 }
--- a/internal/schedule/gateway/gateway_test.go
+++ b/internal/schedule/gateway/gateway_test.go
@@ -17,7 +17,9 @@
 	"daisywheel/internal/result/fault"
 	"daisywheel/internal/schedule/claim"
 	"daisywheel/internal/schedule/gateway"
+	"daisywheel/internal/schedule/jobrecord"
 	"daisywheel/internal/schedule/owner"
+	"daisywheel/internal/schedule/poolindex"
 	"daisywheel/internal/schedule/statelog"
 	"daisywheel/internal/standin/logstore"
 )
@@ -25,9 +27,15 @@
 // startPeer starts a peer that owns the pool "gate" according to the log and serves
 // submissions with the function.
 func startPeer(t *testing.T, log statelog.Client, submit func() (any, error)) *rpc.Endpoint {
+	t.Helper()
+	return startPeerWith(t, log, func(json.RawMessage) (any, error) { return submit() })
+}
+
+// startPeerWith is startPeer for a function of the request's parameters.
+func startPeerWith(t *testing.T, log statelog.Client, submit func(params json.RawMessage) (any, error)) *rpc.Endpoint {
 	t.Helper()
 	ept := rpc.New(rpc.Config{})
-	ept.Handle("job.submit", func(context.Context, json.RawMessage) (any, error) { return submit() })
+	ept.Handle("job.submit", func(_ context.Context, params json.RawMessage) (any, error) { return submit(params) })
 	lst, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -48,7 +56,7 @@
 	ept := rpc.New(rpc.Config{})
 	t.Cleanup(ept.Close)
 	return gateway.New(gateway.Config{
-		Address: "127.0.0.1:1", Partitions: 1, PeerEndpoint: ept, StateLog: log, Journal: journal.New(journal.Config{}),
+		Address: "127.0.0.1:1", Partitions: 1, PeerEndpoint: ept, StateLog: log, PoolIndex: poolindex.New(poolindex.Config{StateLog: log, Journal: journal.New(journal.Config{})}), Journal: journal.New(journal.Config{}),
 		LocalOwner: func(string) *owner.Owner { return nil }, IsConfirmed: isConfirmed,
 	})
 }
@@ -134,3 +142,22 @@
 		t.Errorf("error %v, want the next owner to accept the job", err)
 	}
 }
+
+// An entry of an earlier version decodes what this one sends, and what it does not send has a
+// default here.
+func TestRequestsBetweenVersions(t *testing.T) {
+	log := logstore.New(logstore.Config{}).Client()
+	var got struct {
+		Pool  string          `json:"service"`
+		Queue string          `json:"queue"`
+		Job   json.RawMessage `json:"job"`
+	}
+	startPeerWith(t, log, func(params json.RawMessage) (any, error) { return struct{}{}, json.Unmarshal(params, &got) })
+	gtw := newGateway(t, log, func() bool { return true })
+	if err := submit(t, gtw, "00000000000000a7"); err != nil {
+		t.Fatal(err)
+	}
+	if job, err := jobrecord.DecodeJob(got.Job); got.Pool != "gate" || got.Queue != "q" || err != nil || job.Plan.ID != "00000000000000a7" {
+		t.Errorf("an entry of an earlier version gets %+v (%v)", got, err)
+	}
+}
--- a/internal/schedule/jobrecord/jobrecord.go
+++ b/internal/schedule/jobrecord/jobrecord.go
@@ -37,6 +37,7 @@
 type Job struct {
 	Plan         *plan.Plan
 	Queue        string
+	Address      string    // of the queue; empty in records of entries that did not store it
 	FirstAttempt time.Time // the caller's first attempt known to the owner, by the owner's wall clock
 	Zone         string    // zone where its tasks run; empty for any zone
 }
@@ -51,8 +52,11 @@
 // Progress is the record of a job's progress.
 type Progress struct {
 	State State
-	Queue string    // empty in records of entries that did not store it
-	Ended time.Time // by the owner's wall clock; only meaningful in a final state
+	Queue string // empty in records of entries that did not store it
+	// Address is that of the queue, stored in a final state only, as the record of the
+	// submission has it before.
+	Address string
+	Ended   time.Time // by the owner's wall clock; only meaningful in a final state
 	// Done has one element for each step, of each occurrence, with completed tasks.
 	Done       []DoneTasks
 	Failures   []Failure
@@ -70,6 +74,7 @@
 type jobJSON struct {
 	ID           string     `json:"id"`
 	Queue        string     `json:"queue"`
+	Address      string     `json:"address,omitempty"`
 	FirstAttempt int64      `json:"acceptedMs"`
 	Spec         string     `json:"spec,omitempty"`
 	Steps        []stepJSON `json:"steps"`
@@ -104,7 +109,7 @@
 func EncodeJob(jb Job) ([]byte, error) {
 	pln := jb.Plan
 	jsn := jobJSON{
-		ID: pln.ID, Queue: jb.Queue, FirstAttempt: jb.FirstAttempt.UnixMilli(), Spec: pln.Spec,
+		ID: pln.ID, Queue: jb.Queue, Address: jb.Address, FirstAttempt: jb.FirstAttempt.UnixMilli(), Spec: pln.Spec,
 		Times: pln.RepeatCount, Interval: pln.Interval.Milliseconds(), Zone: jb.Zone,
 	}
 	if pln.IsRepeating() {
@@ -142,7 +147,7 @@
 	if err := pln.Check(); err != nil {
 		return Job{}, errors.Wrap(err, "job record")
 	}
-	return Job{Plan: pln, Queue: jsn.Queue, FirstAttempt: time.UnixMilli(jsn.FirstAttempt), Zone: jsn.Zone}, nil
+	return Job{Plan: pln, Queue: jsn.Queue, Address: jsn.Address, FirstAttempt: time.UnixMilli(jsn.FirstAttempt), Zone: jsn.Zone}, nil
 }
 
 func fromStepJSON(jsn *stepJSON) plan.Step {
@@ -188,6 +193,7 @@
 type progressJSON struct {
 	State      State    `json:"state"`
 	Queue      string   `json:"queue,omitempty"`
+	Address    string   `json:"address,omitempty"`
 	Ended      int64    `json:"endedMs,omitempty"`
 	Done       [][]int  `json:"done,omitempty"`     // rows: occurrence, step, task indexes...; no indexes: all tasks
 	Failures   [][]int  `json:"failures,omitempty"` // rows: occurrence, step, task index, runs...
@@ -198,7 +204,7 @@
 func EncodeProgress(prg Progress) ([]byte, error) {
 	jsn := progressJSON{State: prg.State, Queue: prg.Queue, ExtraZones: prg.ExtraZones}
 	if prg.State.IsEnded() {
-		jsn.Ended = prg.Ended.UnixMilli()
+		jsn.Ended, jsn.Address = prg.Ended.UnixMilli(), prg.Address
 	}
 	for _, don := range prg.Done {
 		row := []int{don.Occurrence, don.Step}
@@ -223,7 +229,7 @@
 	if jsn.State < Queued || jsn.State > Cancelled {
 		return Progress{}, errors.Newf("progress record has the state %d", jsn.State)
 	}
-	prg := Progress{State: jsn.State, Queue: jsn.Queue, Ended: time.UnixMilli(jsn.Ended), ExtraZones: jsn.ExtraZones}
+	prg := Progress{State: jsn.State, Queue: jsn.Queue, Address: jsn.Address, Ended: time.UnixMilli(jsn.Ended), ExtraZones: jsn.ExtraZones}
 	for _, row := range jsn.Done {
 		if len(row) < 2 {
 			return Progress{}, errors.New("progress record has a row without a step")
--- a/internal/schedule/jobrecord/jobrecord_test.go
+++ b/internal/schedule/jobrecord/jobrecord_test.go
@@ -61,3 +61,25 @@
 		_, _ = jobrecord.DecodeHost("vm", "gate", data)
 	})
 }
+
+// Entries of earlier versions stored no addresses of queues, and read records that have them.
+func TestRecordsWithoutAddress(t *testing.T) {
+	const earlier = `{"id":"00112233445566ff","queue":"q","acceptedMs":7,"steps":[{"n":2}]}`
+	jb, err := jobrecord.DecodeJob([]byte(earlier))
+	if err != nil || jb.Queue != "q" || jb.Address != "" {
+		t.Fatalf("job %+v (%v)", jb, err)
+	}
+	jb.Address = "h/p/"
+	data, err := jobrecord.EncodeJob(jb)
+	if want := `{"id":"00112233445566ff","queue":"q","address":"h/p/","acceptedMs":7,"steps":[{"n":2}]}`; err != nil || string(data) != want {
+		t.Errorf("%s (%v), want the earlier record and an address", data, err)
+	}
+	data, err = jobrecord.EncodeProgress(jobrecord.Progress{State: jobrecord.Completed, Queue: "q", Address: "h/p/", Ended: time.UnixMilli(9)})
+	if want := `{"state":2,"queue":"q","address":"h/p/","endedMs":9}`; err != nil || string(data) != want {
+		t.Errorf("%s (%v), want the earlier record and an address", data, err)
+	}
+	prg, err := jobrecord.DecodeProgress([]byte(`{"state":2,"queue":"q","endedMs":9}`))
+	if err != nil || prg.Queue != "q" || prg.Address != "" {
+		t.Errorf("progress %+v (%v)", prg, err)
+	}
+}
--- a/internal/schedule/owner/append.go
+++ b/internal/schedule/owner/append.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -50,7 +51,11 @@
 		}
 		for {
 			bat, more := own.takeBatch(time.Now())
-			if len(bat.records) > 0 {
+			if err := own.recordQueues(bat); err != nil {
+				own.trackLog(time.Now(), time.Now(), err)
+				own.rollBackBatch(bat)
+				sleep(own.quit, logRetryDelay)
+			} else if len(bat.records) > 0 {
 				seq++
 				if !own.appendBatch(bat, seq) {
 					seq-- // the sequence number was not used
@@ -65,6 +70,32 @@
 	}
 }
 
+// recordQueues records that the pool has jobs of the queues of the batch, before their jobs
+// are stored. The first batch of a term records those of earlier terms too, which entries of
+// earlier versions did not record.
+func (own *Owner) recordQueues(bat batch) error {
+	var addresses []string
+	for _, sub := range bat.subs {
+		if address := sub.job.Address; address != "" && !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	own.mu.Lock()
+	if !own.areQueuesRecorded {
+		addresses = append(addresses, own.sch.QueueAddresses()...)
+	}
+	own.mu.Unlock()
+	for _, address := range addresses {
+		if err := own.cfg.PoolIndex.Record(context.Background(), address, own.cfg.Pool); err != nil {
+			return err
+		}
+	}
+	own.mu.Lock()
+	own.areQueuesRecorded = true
+	own.mu.Unlock()
+	return nil
+}
+
 // takeBatch collects the pending records. It reports in more whether submissions
 // are left for another batch.
 func (own *Owner) takeBatch(now time.Time) (bat batch, more bool) {
--- a/internal/schedule/owner/count.go
+++ b/internal/schedule/owner/count.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"daisywheel/internal/fleet/queue"
 	"daisywheel/internal/result/code"
 	"daisywheel/internal/result/fault"
 )
@@ -55,13 +56,13 @@
 // CountQueued returns how many jobs of the queue have no run that is known to have begun. It
 // fails unless the ownership was confirmed within maxCountAge: an owner that was paused or is
 // cut off from the log may have a successor, whose jobs it does not know.
-func (own *Owner) CountQueued(ctx context.Context, now time.Time, queue string) (int, error) {
+func (own *Owner) CountQueued(ctx context.Context, now time.Time, ref queue.Ref) (int, error) {
 	own.awaitConfirmation(ctx, now)
 	own.mu.Lock()
 	defer own.mu.Unlock()
 	now = time.Now() // the wait may have been long
 	age := own.confirmed.age(now, own.cfg.SinceBoot())
-	attrs := []slog.Attr{slog.String("queue", queue), slog.Int64("fence", own.fencingToken), slog.Duration("confirmed", age)}
+	attrs := []slog.Attr{slog.String("queue", ref.Name), slog.Int64("fence", own.fencingToken), slog.Duration("confirmed", age)}
 	if own.isEnding() {
 		own.event(now, "queueUncounted", append(attrs, slog.String("reason", "the term is over"))...)
 		return 0, fault.New(code.NotReady, "the pool changes its owner")
@@ -70,7 +71,7 @@
 		own.event(now, "queueUncounted", append(attrs, slog.String("reason", "the ownership is not confirmed"))...)
 		return 0, fault.New(code.NotReady, "the owner of the pool was last confirmed %s ago", age.Round(time.Millisecond))
 	}
-	count := own.sch.CountQueued(queue)
+	count := own.sch.CountQueued(ref)
 	own.event(now, "queueCounted", append(attrs, slog.Int("count", count))...)
 	return count, nil
 }
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -23,6 +23,7 @@
 	"daisywheel/internal/result/fault"
 	"daisywheel/internal/schedule/claim"
 	"daisywheel/internal/schedule/jobrecord"
+	"daisywheel/internal/schedule/poolindex"
 	"daisywheel/internal/schedule/poolscheduler"
 	"daisywheel/internal/schedule/refusal"
 	"daisywheel/internal/schedule/statelog"
@@ -53,6 +54,7 @@
 	MaxLease        time.Duration
 	StatusRetention time.Duration
 	StateLog        statelog.Client
+	PoolIndex       *poolindex.Index
 	Agent           agent.Client
 	Journal         *journal.Journal
 	Metrics         *metrics.Set
@@ -83,6 +85,7 @@
 	// isRetrying is set after a failed append while records are left for another. Without
 	// any, only a new submission can show that the log is back.
 	isRetrying          bool
+	areQueuesRecorded   bool // the queues that the pool had jobs of when the term began
 	planRequested       chan struct{}
 	flushRequested      chan struct{}
 	claimCheckRequested chan struct{}
@@ -128,6 +131,9 @@
 	if err := own.restore(ctx, now); err != nil {
 		return nil, err
 	}
+	if len(own.sch.QueueAddresses()) > 0 {
+		own.requestFlush() // their addresses are to be recorded
+	}
 	own.event(now, "ownerStarted", slog.Int64("fence", clm.FencingToken()), slog.Int("term", clm.Term()))
 	own.loops.Go(own.planLoop)
 	own.loops.Go(own.appendLoop)
@@ -320,6 +326,16 @@
 	own.requestPlan()
 }
 
+// ConfigVersion returns the version of the configuration in force, 0 without one.
+func (own *Owner) ConfigVersion() int64 {
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	if own.table == nil {
+		return 0
+	}
+	return own.table.Version()
+}
+
 // SetListedVMs updates the VMs that the platform lists for the pool.
 func (own *Owner) SetListedVMs(now time.Time, hosts []host.Host) {
 	own.mu.Lock()
--- a/internal/schedule/owner/owner_test.go
+++ b/internal/schedule/owner/owner_test.go
@@ -22,6 +22,7 @@
 	"daisywheel/internal/result/fault"
 	"daisywheel/internal/schedule/jobrecord"
 	"daisywheel/internal/schedule/owner"
+	"daisywheel/internal/schedule/poolindex"
 	"daisywheel/internal/schedule/statelog"
 	"daisywheel/internal/standin/logstore"
 	"daisywheel/internal/standin/vmfleet"
@@ -35,6 +36,8 @@
 	longRunningID = "00000000000000ff"
 )
 
+var passes = queue.Ref{Name: "passes"}
+
 // fixture is an in-memory pool of VMs with a state log; no platform process runs.
 type fixture struct {
 	t     *testing.T
@@ -80,7 +83,7 @@
 	fxt.t.Helper()
 	own, err := owner.Open(fxt.t.Context(), time.Now(), owner.Config{
 		RequestReport: func() {}, SinceBoot: func() time.Duration { return time.Since(fxt.begun) + time.Duration(fxt.suspended.Load()) },
-		Pool: pool, Address: "peer", MaxLease: maxLease, StatusRetention: time.Minute, StateLog: log,
+		Pool: pool, Address: "peer", MaxLease: maxLease, StatusRetention: time.Minute, StateLog: log, PoolIndex: poolindex.New(poolindex.Config{StateLog: log, Journal: journal.New(journal.Config{})}),
 		Agent: agt, Journal: journal.New(journal.Config{}), Metrics: metrics.NewSet(), Table: fxt.table,
 	})
 	if err != nil {
@@ -102,7 +105,7 @@
 func (fxt *fixture) submit(own *owner.Owner, pln *plan.Plan) error {
 	ctx, cancel := context.WithTimeout(fxt.t.Context(), 2*time.Second)
 	defer cancel()
-	return own.Submit(ctx, time.Now(), pln, "passes")
+	return own.Submit(ctx, time.Now(), pln, passes)
 }
 
 // await waits until a job is completed, at most for a given virtual time.
@@ -110,7 +113,7 @@
 	fxt.t.Helper()
 	limit := time.Now().Add(within)
 	for {
-		ste, _, err := own.State("passes", id)
+		ste, _, err := own.State(passes, id)
 		if err == nil && ste == jobrecord.Completed {
 			return
 		}
@@ -208,7 +211,7 @@
 		}
 		mode.Store(int32(logstore.None))
 		time.Sleep(5 * time.Second)
-		if _, ok, _ := own.State("passes", job(1, 2).ID); ok {
+		if _, ok, _ := own.State(passes, job(1, 2).ID); ok {
 			t.Error("the owner knows a refused job")
 		}
 		fxt.checkInvariants()
@@ -273,10 +276,10 @@
 		second := fxt.open()
 		<-first.OwnershipLost()
 		fxt.submitAll(second, 5)
-		if count, err := first.CountQueued(t.Context(), time.Now(), "passes"); fault.CodeOf(err) != code.NotReady {
+		if count, err := first.CountQueued(t.Context(), time.Now(), passes); fault.CodeOf(err) != code.NotReady {
 			t.Errorf("the former owner counts %d of 5 jobs (%v), want notReady", count, err)
 		}
-		if count, err := second.CountQueued(t.Context(), time.Now(), "passes"); count != 5 || err != nil {
+		if count, err := second.CountQueued(t.Context(), time.Now(), passes); count != 5 || err != nil {
 			t.Errorf("the owner counts %d of 5 jobs (%v)", count, err)
 		}
 	})
@@ -319,7 +322,7 @@
 	time.Sleep(2 * time.Second)
 	isCut.Store(!isPaused)
 	for range 20 {
-		if count, err := first.CountQueued(t.Context(), time.Now(), "passes"); fault.CodeOf(err) != code.NotReady {
+		if count, err := first.CountQueued(t.Context(), time.Now(), passes); fault.CodeOf(err) != code.NotReady {
 			t.Fatalf("the former owner counts %d of 7 jobs (%v), want notReady", count, err)
 		}
 		time.Sleep(70 * time.Millisecond)
@@ -335,7 +338,7 @@
 		time.Sleep(1500 * time.Millisecond) // a check has ended, the next one is not due
 		isCut.Store(true)
 		fxt.suspended.Store(int64(5 * time.Second))
-		if count, err := own.CountQueued(t.Context(), time.Now(), "passes"); fault.CodeOf(err) != code.NotReady {
+		if count, err := own.CountQueued(t.Context(), time.Now(), passes); fault.CodeOf(err) != code.NotReady {
 			t.Errorf("count %d (%v) after 5 s of suspension, want notReady", count, err)
 		}
 	})
@@ -364,7 +367,7 @@
 		fxt.submitAll(second, 7)
 		time.Sleep(1500 * time.Millisecond) // the count may be 2 s old
 		for range 60 {
-			if count, err := first.CountQueued(t.Context(), time.Now(), "passes"); fault.CodeOf(err) != code.NotReady {
+			if count, err := first.CountQueued(t.Context(), time.Now(), passes); fault.CodeOf(err) != code.NotReady {
 				t.Fatalf("the former owner counts %d of 7 jobs (%v), want notReady", count, err)
 			}
 			time.Sleep(70 * time.Millisecond)
@@ -381,7 +384,7 @@
 		fxt.submitAll(own, 3)
 		check := func(when string) {
 			t.Helper()
-			if count, err := own.CountQueued(t.Context(), time.Now(), "passes"); count != 3 || err != nil {
+			if count, err := own.CountQueued(t.Context(), time.Now(), passes); count != 3 || err != nil {
 				t.Errorf("%s: %d jobs (%v), want 3", when, count, err)
 			}
 		}
@@ -450,7 +453,7 @@
 		fxt := newFixture(t, 0, logstore.Config{})
 		own := fxt.open()
 		fxt.submitAll(own, 1)
-		if _, ok, err := own.State("", job(0, 1).ID); !ok || err != nil {
+		if _, ok, err := own.State(queue.Ref{}, job(0, 1).ID); !ok || err != nil {
 			t.Errorf("asked by an entry of an earlier version: shown %v (%v)", ok, err)
 		}
 		renamed := queue.Queue{Name: "renamed", Pool: pool, MaxAttempts: 3}
@@ -460,13 +463,69 @@
 				queues = append(queues, queue.Queue{Name: "passes", Pool: pool, MaxAttempts: 3})
 			}
 			own.SetTable(queue.NewTable(version, queues, []queue.Pool{{Name: pool}}))
-			if _, ok, err := own.State("renamed", job(0, 1).ID); ok != want {
+			if _, ok, err := own.State(queue.Ref{Name: "renamed"}, job(0, 1).ID); ok != want {
 				t.Errorf("version %d: shown %v (%v), want %v", version, ok, err, want)
 			}
 		}
 	})
 }
 
+// A route was dropped and one with the same host and prefix added. Its callers were shown none
+// of their jobs, and a count without them.
+func TestJobsOfRenamedQueueBelongToItsAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fxt := newFixture(t, 0, logstore.Config{})
+		first := queue.Queue{Name: "first", Host: "h", Prefix: "/p/", Pool: pool, MaxAttempts: 3}
+		other := queue.Queue{Name: "other", Host: "h", Prefix: "/o/", Pool: pool, MaxAttempts: 3}
+		renamed := first
+		renamed.Name = "renamed"
+		fxt.table = queue.NewTable(1, []queue.Queue{first, other}, []queue.Pool{{Name: pool}})
+		own := fxt.open()
+		if err := own.Submit(t.Context(), time.Now(), job(1, 1), first.Ref()); err != nil {
+			t.Fatal(err)
+		}
+		own.Close()
+		fxt.table = queue.NewTable(2, []queue.Queue{renamed, other}, []queue.Pool{{Name: pool}})
+		own = fxt.open()
+		for _, tst := range []struct {
+			que  queue.Queue
+			want int
+		}{{renamed, 1}, {other, 0}} {
+			if count, err := own.CountQueued(t.Context(), time.Now(), tst.que.Ref()); count != tst.want || err != nil {
+				t.Errorf("queue %s: %d jobs (%v), want %d", tst.que.Name, count, err, tst.want)
+			}
+		}
+		if _, ok, err := own.State(renamed.Ref(), job(1, 1).ID); !ok || err != nil {
+			t.Errorf("the renamed queue shows its job: %v (%v)", ok, err)
+		}
+	})
+}
+
+// An entry that routed by an old configuration submitted a job to the former pool of its queue,
+// while another entry submitted it to the present one.
+func TestOwnerRefusesSubmissionsRoutedByOldConfig(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fxt := newFixture(t, 0, logstore.Config{})
+		own := fxt.open()
+		que := queue.Queue{Name: "passes", Pool: pool, MaxAttempts: 3}
+		old := queue.NewTable(1, []queue.Queue{que}, []queue.Pool{{Name: pool}}).Queues()[0]
+		if err := own.Submit(t.Context(), time.Now(), job(1, 1), old.Ref()); err != nil {
+			t.Fatal(err)
+		}
+		que.Pool = "mill"
+		own.SetTable(queue.NewTable(2, []queue.Queue{que}, []queue.Pool{{Name: pool}, {Name: "mill"}}))
+		if err := own.Submit(t.Context(), time.Now(), job(1, 1), old.Ref()); err != nil {
+			t.Errorf("repetition of an accepted job: %v", err)
+		}
+		if err := own.Submit(t.Context(), time.Now(), job(2, 1), old.Ref()); fault.CodeOf(err) != code.NotReady {
+			t.Errorf("new job routed by version 1: %v, want notReady", err)
+		}
+		if err := own.Submit(t.Context(), time.Now(), job(3, 1), passes); err != nil {
+			t.Errorf("new job by an entry that does not tell its version: %v", err)
+		}
+	})
+}
+
 func TestTasksOfUnresponsiveVMWaitForLeaseExpiry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fxt := newFixture(t, 2, logstore.Config{})
@@ -575,7 +634,7 @@
 			t.Fatal(err)
 		}
 		time.Sleep(100 * time.Millisecond)
-		found, err := own.Cancel(t.Context(), time.Now(), "passes", job(1, 4).ID)
+		found, err := own.Cancel(t.Context(), time.Now(), passes, job(1, 4).ID)
 		if !found || err != nil {
 			t.Fatalf("cancel: %v %v", found, err)
 		}
@@ -583,7 +642,7 @@
 		if got := fxt.fleet.CountRunning(time.Now(), "vm-0"); got != 0 {
 			t.Errorf("%d tasks run after the cancellation", got)
 		}
-		if found, err := own.Cancel(t.Context(), time.Now(), "passes", job(7, 1).ID); found || err != nil {
+		if found, err := own.Cancel(t.Context(), time.Now(), passes, job(7, 1).ID); found || err != nil {
 			t.Errorf("cancel of an unknown job: %v %v", found, err)
 		}
 		fxt.checkInvariants()
@@ -602,7 +661,7 @@
 		lookup := log.Lookup
 		log.Lookup = func(ctx context.Context, topic string, part int, key string) (statelog.Record, bool, error) {
 			rec, ok, err := lookup(ctx, topic, part, key)
-			if _, err := own.Cancel(ctx, time.Now(), "passes", pln.ID); err != nil {
+			if _, err := own.Cancel(ctx, time.Now(), passes, pln.ID); err != nil {
 				t.Error(err)
 			}
 			return rec, ok, err
--- a/internal/schedule/owner/requests.go
+++ b/internal/schedule/owner/requests.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"daisywheel/internal/fleet/queue"
 	"daisywheel/internal/job/plan"
 	"daisywheel/internal/result/code"
 	"daisywheel/internal/result/fault"
@@ -12,9 +13,12 @@
 
 // Submit returns when the job is stored. After a fault with code OutcomeUnknown it
 // may be stored. A repeated submission of the same job has no effect.
-func (own *Owner) Submit(ctx context.Context, now time.Time, pln *plan.Plan, queue string) error {
+func (own *Owner) Submit(ctx context.Context, now time.Time, pln *plan.Plan, que queue.Ref) error {
 	own.mu.Lock()
-	if own.isOfOtherQueue(pln.ID, queue) {
+	if que.Address == "" { // an entry of an earlier version has sent it
+		que.Address = own.addressOf(que.Name)
+	}
+	if own.isOfOtherQueue(pln.ID, que) {
 		own.mu.Unlock()
 		return fault.New(code.KeyConflict, "another queue has a job %s", pln.ID)
 	}
@@ -28,12 +32,16 @@
 			own.mu.Unlock()
 			return fault.New(code.NotReady, "the pool changes its owner")
 		}
+		if own.isRoutedByOldConfig(que) {
+			own.mu.Unlock()
+			return fault.New(code.NotReady, "the queue %s has another pool since a later version than %d", que.Name, que.Version)
+		}
 		if own.isRetrying && now.Sub(own.stalledSince) > stallLimit {
 			wait := own.refusals.Add(now, pln)
 			own.mu.Unlock()
 			return fault.NewRetryAfter(wait, code.LogUnavailable, "nothing can be stored since %s", now.Sub(own.stalledSince).Round(time.Millisecond))
 		}
-		sub = &submission{job: jobrecord.Job{Plan: pln, Queue: queue, FirstAttempt: own.refusals.Accept(now, pln.ID)}, resolved: make(chan struct{})}
+		sub = &submission{job: jobrecord.Job{Plan: pln, Queue: que.Name, Address: que.Address, FirstAttempt: own.refusals.Accept(now, pln.ID)}, resolved: make(chan struct{})}
 		own.pending[pln.ID] = sub
 		own.queued = append(own.queued, sub)
 		own.requestFlush()
@@ -69,18 +77,38 @@
 	}
 }
 
+// addressOf returns the address of a queue by its name, or "" if it is not configured. The
+// caller holds the lock.
+func (own *Owner) addressOf(name string) string {
+	if own.table == nil {
+		return ""
+	}
+	que, _ := own.table.ByName(name)
+	return que.Address()
+}
+
+// isRoutedByOldConfig reports whether the queue has another pool by a later configuration
+// than the sender's. The caller holds the lock.
+func (own *Owner) isRoutedByOldConfig(ref queue.Ref) bool {
+	if own.table == nil || ref.Version == 0 || ref.Version >= own.table.Version() {
+		return false
+	}
+	que, ok := own.table.Find(ref)
+	return ok && que.Pool != own.cfg.Pool
+}
+
 // isOfOtherQueue reports whether the job was submitted to another queue. Jobs of a queue that
 // is no longer configured belong to all queues, as it may have a new name, and entries of
 // earlier versions ask without a queue. The caller holds the lock.
-func (own *Owner) isOfOtherQueue(id, queue string) bool {
-	name, ok := own.sch.Queue(id)
+func (own *Owner) isOfOtherQueue(id string, ref queue.Ref) bool {
+	jobRef, ok := own.sch.Queue(id)
 	if sub, isPending := own.pending[id]; isPending {
-		name, ok = sub.job.Queue, true
+		jobRef, ok = queue.Ref{Name: sub.job.Queue, Address: sub.job.Address}, true
 	}
-	if !ok || name == queue || queue == "" || own.table == nil {
+	if !ok || jobRef.IsSame(ref) || ref.Name == "" || own.table == nil {
 		return false
 	}
-	_, isConfigured := own.table.ByName(name)
+	_, isConfigured := own.table.ByName(jobRef.Name)
 	return isConfigured
 }
 
@@ -91,14 +119,14 @@
 // State returns the stored state of a job, Queued for a submission that is still
 // being stored. It reports false when the owner knows neither, and fails with code
 // UnknownJob if another queue has the job.
-func (own *Owner) State(queue, id string) (ste jobrecord.State, ok bool, err error) {
+func (own *Owner) State(que queue.Ref, id string) (ste jobrecord.State, ok bool, err error) {
 	own.mu.Lock()
 	defer own.mu.Unlock()
 	if own.isEnding() {
 		return 0, false, fault.New(code.NotReady, "the pool changes its owner")
 	}
-	if own.isOfOtherQueue(id, queue) {
-		return 0, false, newUnknownJob(queue, id)
+	if own.isOfOtherQueue(id, que) {
+		return 0, false, newUnknownJob(que.Name, id)
 	}
 	if _, isPending := own.pending[id]; isPending {
 		return jobrecord.Queued, true, nil
@@ -109,15 +137,15 @@
 
 // Cancel cancels a job and returns when that is stored. It reports false when there
 // is no such job, and fails with code UnknownJob if another queue has it.
-func (own *Owner) Cancel(ctx context.Context, now time.Time, queue, id string) (found bool, err error) {
+func (own *Owner) Cancel(ctx context.Context, now time.Time, que queue.Ref, id string) (found bool, err error) {
 	own.mu.Lock()
 	if own.isEnding() {
 		own.mu.Unlock()
 		return false, fault.New(code.NotReady, "the pool changes its owner")
 	}
-	if own.isOfOtherQueue(id, queue) {
+	if own.isOfOtherQueue(id, que) {
 		own.mu.Unlock()
-		return false, newUnknownJob(queue, id)
+		return false, newUnknownJob(que.Name, id)
 	}
 	if sub, isPending := own.pending[id]; isPending {
 		own.mu.Unlock()
--- /dev/null
+++ b/internal/schedule/poolindex/poolindex_test.go
@@ -0,0 +1,107 @@
+package poolindex_test
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"daisywheel/internal/event/journal"
+	"daisywheel/internal/schedule/poolindex"
+	"daisywheel/internal/schedule/statelog"
+	"daisywheel/internal/standin/logstore"
+)
+
+var start = time.Unix(1000, 0)
+
+// countReads returns a client whose reads fail while isDown is set, and are counted.
+func countReads(log statelog.Client, reads *atomic.Int64, isDown *atomic.Bool) statelog.Client {
+	newest := log.Newest
+	log.Newest = func(ctx context.Context, topic string, part int) ([]statelog.Record, int64, error) {
+		reads.Add(1)
+		if isDown.Load() {
+			return nil, 0, errors.New("down")
+		}
+		return newest(ctx, topic, part)
+	}
+	return log
+}
+
+func newIndex(log statelog.Client) *poolindex.Index {
+	return poolindex.New(poolindex.Config{StateLog: log, Journal: journal.New(journal.Config{})})
+}
+
+func TestPoolsOfAQueueAreKept(t *testing.T) {
+	log := logstore.New(logstore.Config{}).Client()
+	writer := newIndex(log)
+	for _, pool := range []string{"gate", "mill", "gate"} {
+		if err := writer.Record(t.Context(), "h/p/", pool); err != nil {
+			t.Fatal(err)
+		}
+	}
+	reader := newIndex(log)
+	for address, want := range map[string][]string{"h/p/": {"gate", "mill"}, "h/q/": nil} {
+		pools, err := reader.Pools(t.Context(), start, address, start)
+		slices.Sort(pools)
+		if err != nil || !slices.Equal(pools, want) {
+			t.Errorf("pools of %s: %v (%v), want %v", address, pools, err, want)
+		}
+	}
+}
+
+// The index is read at once after a change of a queue's pool, at most every 2 s for 5 s, and
+// not again until the next change.
+func TestIndexIsReadNoMoreThanNeeded(t *testing.T) {
+	var reads atomic.Int64
+	var isDown atomic.Bool
+	idx := newIndex(countReads(logstore.New(logstore.Config{}).Client(), &reads, &isDown))
+	ask := func(from, to time.Duration, since time.Time) {
+		t.Helper()
+		for at := from; at < to; at += 100 * time.Millisecond {
+			if _, err := idx.Pools(t.Context(), start.Add(at), "h/p/", since); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	ask(100*time.Millisecond, 20*time.Second, start)
+	if got := reads.Load(); got != 4 {
+		t.Errorf("%d reads in 20 s, want 4: at 0.1, 2.1, 4.1 and 6.1 s", got)
+	}
+	ask(6200*time.Millisecond, 6300*time.Millisecond, start.Add(6150*time.Millisecond))
+	if got := reads.Load(); got != 5 {
+		t.Errorf("%d reads after a change, want 5", got)
+	}
+}
+
+// While the log is down, what was read before counts; without any, nobody may conclude that a
+// job is in no other pool.
+func TestIndexWhileTheLogIsDown(t *testing.T) {
+	var reads atomic.Int64
+	var isDown atomic.Bool
+	log := countReads(logstore.New(logstore.Config{}).Client(), &reads, &isDown)
+	idx := newIndex(log)
+	isDown.Store(true)
+	for range 3 {
+		if _, err := idx.Pools(t.Context(), start, "h/p/", start); err == nil {
+			t.Error("no error though nothing was read")
+		}
+	}
+	if got := reads.Load(); got != 1 {
+		t.Errorf("%d reads at one time, want 1", got)
+	}
+	isDown.Store(false)
+	if err := idx.Record(t.Context(), "h/p/", "gate"); err != nil {
+		t.Fatal(err)
+	}
+	later := start.Add(3 * time.Second)
+	if _, err := idx.Pools(t.Context(), later, "h/p/", start); err != nil {
+		t.Fatal(err)
+	}
+	isDown.Store(true)
+	later = later.Add(time.Minute)
+	if pools, err := idx.Pools(t.Context(), later, "h/p/", later); err != nil || !slices.Equal(pools, []string{"gate"}) {
+		t.Errorf("pools %v (%v), want those read before", pools, err)
+	}
+}
--- a/internal/schedule/poolscheduler/begun_test.go
+++ b/internal/schedule/poolscheduler/begun_test.go
@@ -6,6 +6,7 @@
 
 	"daisywheel/internal/fleet/agent"
 	"daisywheel/internal/fleet/host"
+	"daisywheel/internal/fleet/queue"
 	"daisywheel/internal/job/plan"
 	"daisywheel/internal/job/task"
 	"daisywheel/internal/schedule/jobrecord"
@@ -16,7 +17,7 @@
 func checkShown(t *testing.T, name string, sch *poolscheduler.Scheduler, count int, ste jobrecord.State) {
 	t.Helper()
 	got, _ := sch.State(jobID)
-	if num := sch.CountQueued("q"); num != count || got != ste {
+	if num := sch.CountQueued(queue.Ref{Name: "q"}); num != count || got != ste {
 		t.Errorf("%s: queue count %d, state %s; want %d and %s", name, num, got, count, ste)
 	}
 }
@@ -97,8 +98,8 @@
 	sch.Cancel(start, jobID)
 	next, _ := newScheduler(false)
 	next.RestoreJob(start, jobID, nil, sch.TakeBatch().Updates[0].Progress)
-	if name, ok := next.Queue(jobID); name != "q" || !ok {
-		t.Errorf("queue %q (known %t), want q", name, ok)
+	if ref, ok := next.Queue(jobID); ref.Name != "q" || !ok {
+		t.Errorf("queue %q (known %t), want q", ref.Name, ok)
 	}
 }
 
--- a/internal/schedule/poolscheduler/end.go
+++ b/internal/schedule/poolscheduler/end.go
@@ -51,7 +51,7 @@
 		vst.backoffUntil = now.Add(quarantineTime)
 		sch.cfg.Event(now, "vmQuarantined", slog.String("vm", vst.host.ID), slog.Int("streak", vst.consecutiveFailures))
 	}
-	que, _ := sch.queueOf(jst.queue)
+	que := sch.queueOf(jst.queue)
 	sch.cfg.Event(now, "taskFailed", slog.String("task", tst.id.String()), slog.String("vm", vst.host.ID),
 		slog.Int("run", run), slog.Int("failures", len(tst.failedRuns)), slog.Int("limit", que.MaxAttempts))
 	if !tst.step.plan.IsLongRunning && len(tst.failedRuns) >= que.MaxAttempts {
@@ -122,7 +122,7 @@
 	delete(sch.openSteps, sst)
 	if !sst.lastStartAt.IsZero() {
 		sst.runTime = now.Sub(sst.lastStartAt)
-		sch.runtimeModel(jst.queue).Observe(sst.plan.Estimate, sst.runTime)
+		sch.runtimeModel(jst.queue.Name).Observe(sst.plan.Estimate, sst.runTime)
 	}
 	occ := jst.occurrences[sst.occurrence]
 	occ.stepsLeft--
--- a/internal/schedule/poolscheduler/expect.go
+++ b/internal/schedule/poolscheduler/expect.go
@@ -13,7 +13,7 @@
 // are wrong by a factor of several, and a job must not lose its place in the order
 // because its caller declared too little.
 func (sch *Scheduler) expectedTimes(jst *jobState, num int) (total, remaining time.Duration) {
-	mdl := sch.runtimeModel(jst.queue)
+	mdl := sch.runtimeModel(jst.queue.Name)
 	occ := jst.occurrenceAt(num)
 	totalTimes := sch.scratch[:len(jst.plan.Steps)]
 	remainingTimes := sch.scratch[plan.MaxSteps:][:len(jst.plan.Steps)]
@@ -57,7 +57,7 @@
 
 // deadline returns the time by which an occurrence of the job should be done.
 func (sch *Scheduler) deadline(jst *jobState, num int) time.Time {
-	que, _ := sch.queueOf(jst.queue)
+	que := sch.queueOf(jst.queue)
 	total, _ := sch.expectedTimes(jst, num)
 	return deadlineOf(que, jst.waitStart(num), total)
 }
--- a/internal/schedule/poolscheduler/place.go
+++ b/internal/schedule/poolscheduler/place.go
@@ -64,7 +64,7 @@
 }
 
 func (sch *Scheduler) rankCandidate(sst *stepState) rank.Candidate {
-	que, _ := sch.queueOf(sst.job.queue)
+	que := sch.queueOf(sst.job.queue)
 	total, remaining := sch.expectedTimes(sst.job, sst.occurrence)
 	since := sst.job.waitStart(sst.occurrence)
 	deadline := deadlineOf(que, since, total)
@@ -109,9 +109,6 @@
 }
 
 func (sch *Scheduler) placeStep(now time.Time, sst *stepState, unp unplaceable, orders []Order) []Order {
-	if !sch.isQueueAssigned(sst) {
-		return orders
-	}
 	sst.isStarved = false
 	if sst.plan.IsGang {
 		return sch.placeGang(now, sst, orders)
@@ -131,13 +128,6 @@
 	return orders
 }
 
-// isQueueAssigned reports whether the configuration in force still assigns the step's
-// queue to this pool. It is true for a queue that is no longer configured.
-func (sch *Scheduler) isQueueAssigned(sst *stepState) bool {
-	que, ok := sch.queueOf(sst.job.queue)
-	return !ok || que.Pool == sch.cfg.Name
-}
-
 // placeGang starts all tasks of the step or none.
 func (sch *Scheduler) placeGang(now time.Time, sst *stepState, orders []Order) []Order {
 	if sst.waitingCount < len(sst.tasks) {
--- a/internal/schedule/poolscheduler/poolscheduler.go
+++ b/internal/schedule/poolscheduler/poolscheduler.go
@@ -6,6 +6,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"daisywheel/internal/fleet/agent"
@@ -155,20 +157,20 @@
 // newJobState returns the state of a job whose caller has been waiting since the time.
 func (sch *Scheduler) newJobState(since time.Time, jb jobrecord.Job) *jobState {
 	return &jobState{
-		plan: jb.Plan, queue: jb.Queue, waitingSince: since, homeZone: jb.Zone,
+		plan: jb.Plan, queue: queue.Ref{Name: jb.Queue, Address: jb.Address}, waitingSince: since, homeZone: jb.Zone,
 		occurrences: make([]*occurrence, jb.Plan.Occurrences()),
 	}
 }
 
-// queueOf returns the settings of a queue. For a queue that is no longer configured
-// it returns defaults, for the jobs that the queue still has, and false.
-func (sch *Scheduler) queueOf(name string) (queue.Queue, bool) {
+// queueOf returns the settings of a job's queue. For a queue that is no longer configured
+// it returns defaults, for the jobs that the queue still has.
+func (sch *Scheduler) queueOf(ref queue.Ref) queue.Queue {
 	if sch.table != nil {
-		if que, ok := sch.table.ByName(name); ok {
-			return que, true
+		if que, ok := sch.table.Find(ref); ok {
+			return que
 		}
 	}
-	return queue.Queue{Name: name, MaxAttempts: 3, DeadlineFactor: 1.5}, false
+	return queue.Queue{Name: ref.Name, MaxAttempts: 3, DeadlineFactor: 1.5}
 }
 
 // openDueOccurrences opens the job's occurrences that are due.
@@ -266,26 +268,42 @@
 
 // Queue returns the queue that a job was submitted to. It reports false for an unknown job
 // and for one whose record does not name the queue.
-func (sch *Scheduler) Queue(id string) (name string, ok bool) {
+func (sch *Scheduler) Queue(id string) (ref queue.Ref, ok bool) {
 	jst, ok := sch.jobs[id]
-	if !ok || jst.queue == "" {
-		return "", false
+	if !ok || jst.queue.Name == "" {
+		return queue.Ref{}, false
 	}
 	return jst.queue, true
 }
 
 // CountQueued returns the number of jobs of the queue of which no run is known to have
 // begun. Repeating jobs are not counted.
-func (sch *Scheduler) CountQueued(queue string) int {
+func (sch *Scheduler) CountQueued(ref queue.Ref) int {
 	count := 0
 	for _, jst := range sch.jobs {
-		if jst.queue == queue && !jst.hasBegun && !jst.state.IsEnded() && !jst.plan.IsRepeating() {
+		if jst.queue.IsSame(ref) && !jst.hasBegun && !jst.state.IsEnded() && !jst.plan.IsRepeating() {
 			count++
 		}
 	}
 	return count
 }
 
+// QueueAddresses returns the addresses of the queues that the pool has jobs of. It leaves
+// out queues whose address is neither stored nor configured.
+func (sch *Scheduler) QueueAddresses() []string {
+	seen := map[string]bool{}
+	for _, jst := range sch.jobs {
+		address := jst.queue.Address
+		if que := sch.queueOf(jst.queue); address == "" {
+			address = que.Address()
+		}
+		if address != "" {
+			seen[address] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
 // Cancel cancels a job. It reports false when there is no such job. The job's runs
 // are stopped at once; the cancellation is final when it is stored.
 func (sch *Scheduler) Cancel(now time.Time, id string) (found bool) {
--- a/internal/schedule/poolscheduler/record.go
+++ b/internal/schedule/poolscheduler/record.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"daisywheel/internal/fleet/host"
+	"daisywheel/internal/fleet/queue"
 	"daisywheel/internal/job/plan"
 	"daisywheel/internal/schedule/jobrecord"
 )
@@ -109,7 +110,7 @@
 }
 
 func progressOf(jst *jobState) jobrecord.Progress {
-	prg := jobrecord.Progress{State: jst.state, Queue: jst.queue, Ended: jst.endedAt}
+	prg := jobrecord.Progress{State: jst.state, Queue: jst.queue.Name, Address: jst.queue.Address, Ended: jst.endedAt}
 	if jst.state.IsEnded() {
 		return prg
 	}
@@ -157,7 +158,7 @@
 // ended, as its plan is then no longer stored.
 func (sch *Scheduler) RestoreJob(now time.Time, id string, jb *jobrecord.Job, prg jobrecord.Progress) {
 	if prg.State.IsEnded() || jb == nil {
-		jst := &jobState{plan: placeholderPlan(id), queue: prg.Queue, state: prg.State, storedState: prg.State, endedAt: now}
+		jst := &jobState{plan: placeholderPlan(id), queue: queue.Ref{Name: prg.Queue, Address: prg.Address}, state: prg.State, storedState: prg.State, endedAt: now}
 		sch.jobs[id] = jst
 		if prg.State.IsEnded() {
 			sch.endedJobs = append(sch.endedJobs, id)
--- a/internal/schedule/poolscheduler/state.go
+++ b/internal/schedule/poolscheduler/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"daisywheel/internal/fleet/host"
+	"daisywheel/internal/fleet/queue"
 	"daisywheel/internal/job/plan"
 	"daisywheel/internal/job/task"
 	"daisywheel/internal/schedule/jobrecord"
@@ -73,7 +74,7 @@
 // jobState is the state of one job.
 type jobState struct {
 	plan                *plan.Plan
-	queue               string
+	queue               queue.Ref
 	waitingSince        time.Time     // since when its caller has been waiting
 	occurrences         []*occurrence // by number; nil while not due, or done before this owner's term
 	doneOccurrenceCount int
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -25,6 +25,7 @@
 	"daisywheel/internal/schedule/gateway"
 	"daisywheel/internal/schedule/group"
 	"daisywheel/internal/schedule/owner"
+	"daisywheel/internal/schedule/poolindex"
 	"daisywheel/internal/schedule/poolscheduler"
 	"daisywheel/internal/schedule/statelog"
 )
@@ -90,6 +91,7 @@
 	cfg          Config
 	link         *rpc.Endpoint
 	gateway      *gateway.Gateway
+	poolIndex    *poolindex.Index
 	table        atomic.Pointer[queue.Table]
 	started      time.Time
 	mu           sync.Mutex
@@ -121,10 +123,11 @@
 		owners: map[string]*owner.Owner{}, opening: map[string]bool{}, failedAt: map[string]time.Time{}, confirmedAt: now,
 		waves: map[int64]maintenance.Wave{}, evacuations: map[string]evacuation{}, reportRequested: make(chan struct{}, 1),
 	}
+	svc.poolIndex = poolindex.New(poolindex.Config{StateLog: cfg.StateLog, Journal: cfg.Journal})
 	svc.link.Handle(methodReport, svc.serveReport)
 	svc.link.Handle(methodOwnership, svc.serveOwnership)
 	svc.gateway = gateway.New(gateway.Config{
-		Address: cfg.PeerAddress, Partitions: cfg.Partitions, PeerEndpoint: svc.link, StateLog: cfg.StateLog,
+		Address: cfg.PeerAddress, Partitions: cfg.Partitions, PeerEndpoint: svc.link, StateLog: cfg.StateLog, PoolIndex: svc.poolIndex,
 		Journal: cfg.Journal, LocalOwner: svc.Owner, IsConfirmed: svc.isMembershipConfirmed,
 	})
 	if err := svc.link.Listen(cfg.PeerAddress); err != nil {
@@ -276,6 +279,7 @@
 		if old != nil && old.Version() >= rec.Table.Version() {
 			return
 		}
+		svc.gateway.SetTable(now, rec.Table)
 		svc.table.Store(rec.Table)
 		svc.cfg.Journal.Event(now, "configInForce", slog.Int64("version", rec.Table.Version()))
 		svc.mu.Lock()
@@ -445,7 +449,7 @@
 	}
 	own, err := owner.Open(ctx, time.Now(), owner.Config{
 		Pool: pool, Partition: group.PartitionOf(pool, svc.cfg.Partitions), Address: svc.cfg.PeerAddress, MaxLease: min(svc.cfg.MaxLease, leaseDuration),
-		StatusRetention: svc.cfg.StatusRetention, StateLog: svc.cfg.StateLog, Agent: svc.cfg.Agent, Journal: svc.cfg.Journal,
+		StatusRetention: svc.cfg.StatusRetention, StateLog: svc.cfg.StateLog, PoolIndex: svc.poolIndex, Agent: svc.cfg.Agent, Journal: svc.cfg.Journal,
 		Metrics: svc.cfg.Metrics, Table: tab, RequestReport: svc.requestReport,
 	})
 	now := time.Now()
--- a/internal/schedule/service/service_test.go
+++ b/internal/schedule/service/service_test.go
@@ -29,6 +29,7 @@
 
 const (
 	pool        = "gate"
+	otherPool   = "mill"           // without queues in the first configuration
 	testTimeout = 30 * time.Second // bound of one wait; no test depends on its length
 )
 
@@ -42,7 +43,8 @@
 	fleet     *vmfleet.Fleet
 	store     *logstore.Store
 	entries   []*service.Service
-	addresses []string     // peer addresses of the entries
+	addresses []string // peer addresses of the entries
+	table     atomic.Pointer[queue.Table]
 	cut       atomic.Int32 // entry whose joins fail, or noEntry or allEntries
 	down      atomic.Bool  // the log fails all joins, appends and reads
 }
@@ -53,9 +55,9 @@
 func startSite(t *testing.T, entries int) *site {
 	t.Helper()
 	var hosts []host.Host
-	for i := range 3 {
+	for i, owner := range []string{pool, pool, pool, otherPool} {
 		hosts = append(hosts, host.Host{
-			ID: fmt.Sprintf("vm-%d", i), Pool: pool, Address: fmt.Sprintf("10.0.0.%d:80", i), Incarnation: time.Now().UnixMilli(),
+			ID: fmt.Sprintf("vm-%d", i), Pool: owner, Address: fmt.Sprintf("10.0.0.%d:80", i), Incarnation: time.Now().UnixMilli(),
 			Capacity: plan.Demand{MilliCores: 4000, MemoryMB: 8000},
 		})
 	}
@@ -64,6 +66,7 @@
 	}, hosts)}
 	ste.store = logstore.New(logstore.Config{})
 	ste.cut.Store(noEntry)
+	ste.putTable(1, passes)
 	for range entries {
 		ste.startEntry(entryMilliCores)
 	}
@@ -180,8 +183,24 @@
 	}
 }
 
+// putTable puts a version of the configuration in force.
+func (ste *site) putTable(version int64, queues ...queue.Queue) {
+	ste.table.Store(queue.NewTable(version, queues, []queue.Pool{{Name: pool}, {Name: otherPool}}))
+}
+
+// awaitTable waits until all entries have read the configuration in force.
+func (ste *site) awaitTable() {
+	ste.t.Helper()
+	for _, svc := range ste.entries {
+		for limit := time.Now().Add(testTimeout); svc.Table() != ste.table.Load(); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(limit) {
+				ste.t.Fatal("an entry does not read the configuration")
+			}
+		}
+	}
+}
+
 func (ste *site) directory() directory.Client {
-	tab := queue.NewTable(1, []queue.Queue{passes}, []queue.Pool{{Name: pool}})
 	return directory.Client{
 		Hosts: func(context.Context, int64) (directory.HostPage, error) {
 			page := directory.HostPage{IsSnapshot: true}
@@ -191,14 +210,14 @@
 			return page, nil
 		},
 		OperatorRecords: func(ctx context.Context, cursor int64, wait time.Duration) (directory.OperatorPage, error) {
-			if cursor == directory.StartCursor {
-				return directory.OperatorPage{Records: []directory.OperatorRecord{{Table: tab}}, Next: 1}, nil
-			}
-			select {
-			case <-ctx.Done():
-			case <-time.After(wait):
+			for limit := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
+				if tab := ste.table.Load(); tab.Version() > cursor {
+					return directory.OperatorPage{Records: []directory.OperatorRecord{{Table: tab}}, Next: tab.Version()}, nil
+				}
+				if ctx.Err() != nil || time.Now().After(limit) {
+					return directory.OperatorPage{Next: cursor}, ctx.Err()
+				}
 			}
-			return directory.OperatorPage{Next: cursor}, ctx.Err()
 		},
 		ReportWave: func(context.Context, int64, bool) error { return nil },
 		Machines:   func(context.Context) ([]directory.Machine, error) { return nil, nil },
@@ -208,9 +227,15 @@
 // submit retries the submission until the job is accepted, as callers do.
 func (ste *site) submit(through *service.Service, pln *plan.Plan) {
 	ste.t.Helper()
+	ste.submitTo(passes, through, pln)
+}
+
+func (ste *site) submitTo(que queue.Queue, through *service.Service, pln *plan.Plan) {
+	ste.t.Helper()
+	que = ste.queueAt(que)
 	for limit := time.Now().Add(testTimeout); ; {
 		ctx, cancel := context.WithTimeout(ste.t.Context(), 3*time.Second)
-		err := through.Gateway().Submit(ctx, time.Now(), passes, pln)
+		err := through.Gateway().Submit(ctx, time.Now(), que, pln)
 		cancel()
 		if err == nil {
 			return
@@ -223,14 +248,21 @@
 
 func (ste *site) await(through *service.Service, id string) {
 	ste.t.Helper()
+	ste.awaitIn(passes, through, id)
+}
+
+// awaitIn waits until the job of the queue has ended.
+func (ste *site) awaitIn(que queue.Queue, through *service.Service, id string) {
+	ste.t.Helper()
+	que = ste.queueAt(que)
 	for limit := time.Now().Add(testTimeout); ; time.Sleep(10 * time.Millisecond) {
 		ctx, cancel := context.WithTimeout(ste.t.Context(), 3*time.Second)
-		state, found, err := through.Gateway().State(ctx, passes, id)
+		state, found, err := through.Gateway().State(ctx, que, id)
 		cancel()
 		if err == nil && !found {
 			ste.t.Fatalf("job %s is not known", id)
 		}
-		if err == nil && state == jobrecord.Completed {
+		if err == nil && state.IsEnded() && state != jobrecord.Failed {
 			return
 		}
 		if time.Now().After(limit) {
@@ -325,7 +357,7 @@
 	ste := startSite(t, 2)
 	ste.submit(ste.entries[0], job(1))
 	other := passes
-	other.Name = "other"
+	other.Name, other.Prefix = "other", "/o/"
 	for _, svc := range ste.entries {
 		if state, found, err := svc.Gateway().State(t.Context(), other, job(1).ID); found || err != nil {
 			t.Errorf("state in another queue: %v %v %v", state, found, err)
@@ -386,3 +418,55 @@
 	}
 	ste.stop()
 }
+
+// The configuration sent queues with accepted jobs to another pool: one by its route, the other
+// by a new route at the same address. All jobs were answered as unknown, those that waited were
+// never run, and repeated submissions would have run again in the new pool.
+func TestJobsOfMovedQueuesStayFoundAndRunOnce(t *testing.T) {
+	const jobs = 4
+	ste := startSite(t, 2)
+	second := queue.Queue{Name: "second", Host: "h", Prefix: "/s/", Pool: pool, MaxAttempts: 3, DeadlineFactor: 1.6}
+	ste.putTable(2, passes, second)
+	ste.awaitTable()
+	plans := make([]*plan.Plan, 2*jobs)
+	queues := []queue.Queue{passes, second}
+	for num := range plans {
+		plans[num] = job(num)
+		plans[num].Steps[0].Count = 30 // 12 run at a time
+		ste.submitTo(queues[num%2], ste.entries[num/2%2], plans[num])
+	}
+	for i := range queues {
+		queues[i].Pool = otherPool
+	}
+	queues[1].Name = "third"
+	ste.putTable(3, queues...)
+	ste.awaitTable()
+	found, err := ste.entries[0].Gateway().Cancel(t.Context(), time.Now(), ste.queueAt(queues[1]), plans[2*jobs-1].ID)
+	if !found || err != nil {
+		t.Errorf("cancel of an accepted job: %v (%v)", found, err)
+	}
+	for num, pln := range plans {
+		ste.submitTo(queues[num%2], ste.entries[num%2], pln) // a repetition
+		ste.awaitIn(queues[num%2], ste.entries[num%2], pln.ID)
+	}
+	ste.stop()
+	ste.entries = nil
+	restarted := ste.startEntry(entryMilliCores) // knows only the last configuration
+	ste.awaitTable()
+	for num, pln := range plans {
+		ste.awaitIn(queues[num%2], restarted, pln.ID)
+	}
+	ste.submitTo(queues[0], restarted, job(99))
+	ste.awaitIn(queues[0], restarted, job(99).ID)
+	ste.stop()
+	ste.checkInvariants()
+}
+
+// queueAt returns the queue as the configuration in force has it.
+func (ste *site) queueAt(que queue.Queue) queue.Queue {
+	found, _, ok := ste.table.Load().Match(que.Host, que.Prefix)
+	if !ok {
+		ste.t.Fatalf("no queue at %s", que.Prefix)
+	}
+	return found
+}
--- a/test/answers/answers_test.go
+++ b/test/answers/answers_test.go
@@ -18,6 +18,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"daisywheel/internal/fleet/host"
+	"daisywheel/internal/fleet/queue"
 	"daisywheel/internal/job/plan"
 	"daisywheel/internal/job/task"
 	"daisywheel/internal/result/code"
@@ -302,7 +303,7 @@
 		sok.mu.Lock()
 		jfs.inFlight++
 		sok.mu.Unlock()
-		err := hld.owner.Submit(ctx, time.Now(), jfs.plan, queueName)
+		err := hld.owner.Submit(ctx, time.Now(), jfs.plan, queue.Ref{Name: queueName})
 		sok.mu.Lock()
 		defer sok.mu.Unlock()
 		jfs.inFlight--
@@ -321,7 +322,7 @@
 		sok.mu.Lock()
 		jfs.isCancelSent = true
 		sok.mu.Unlock()
-		found, err := hld.owner.Cancel(ctx, time.Now(), queueName, jfs.plan.ID)
+		found, err := hld.owner.Cancel(ctx, time.Now(), queue.Ref{Name: queueName}, jfs.plan.ID)
 		return found && err == nil
 	})
 }
@@ -336,13 +337,13 @@
 		if hld.entry.isUnder("", paused) {
 			continue
 		}
-		if count, err := hld.owner.CountQueued(context.Background(), time.Now(), queueName); err == nil {
+		if count, err := hld.owner.CountQueued(context.Background(), time.Now(), queue.Ref{Name: queueName}); err == nil {
 			sok.checkCount(hld, count)
 		}
 		drawn := int(sok.draw("stored", sok.now()) * float64(len(sok.jobs)))
 		for i, jfs := range sok.jobs {
-			ste, ok, err := hld.owner.State(queueName, jfs.plan.ID)
-			_, isOther, otherErr := hld.owner.State(otherQueue, jfs.plan.ID)
+			ste, ok, err := hld.owner.State(queue.Ref{Name: queueName}, jfs.plan.ID)
+			_, isOther, otherErr := hld.owner.State(queue.Ref{Name: otherQueue}, jfs.plan.ID)
 			sok.mu.Lock()
 			if isOther && otherErr == nil {
 				sok.breach("a job is shown in another queue", hld, "", []string{jfs.plan.ID})
