Keep the progress of a job within a record, and refusals of one from all

Cause: the progress record had a row for each step of each occurrence that was done. After some 450 occurrences it exceeded record_bytes, and the log refused the append. The owner takes a refusal for an outage and puts the same changes, all of the pool's, into the next append, with the same record.

Now occurrences that are done are stored as spans from 4,096 rows on. Earlier versions do not read spans, so the submission moves to another key, where they find no job to run; below that the record is what it was. What can't be stored is sorted out before the append: submissions are refused, jobs fail, VMs get no tasks. Changes of over 1 MiB, as after an outage, go into several appends, which rests on the same assumption; ends are acknowledged after the last.

--- a/internal/schedule/jobrecord/jobrecord.go
+++ b/internal/schedule/jobrecord/jobrecord.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"daisywheel/internal/fleet/host"
+	"daisywheel/internal/job/numberset"
 	"daisywheel/internal/job/plan"
 )
 
@@ -57,7 +58,11 @@
 	// submission has it before.
 	Address string
 	Ended   time.Time // by the owner's wall clock; only meaningful in a final state
-	// Done has one element for each step, of each occurrence, with completed tasks.
+	// Occurrences are those that are done, of a job with this number of Steps.
+	Occurrences numberset.Set
+	Steps       int
+	// Done has one element for each step with completed tasks of the other occurrences.
+	// DecodeProgress also returns occurrences that are done here, if rows list their steps.
 	Done       []DoneTasks
 	Failures   []Failure
 	ExtraZones []string // zones beside the job's own where tasks may run
@@ -195,17 +200,38 @@
 	Queue      string   `json:"queue,omitempty"`
 	Address    string   `json:"address,omitempty"`
 	Ended      int64    `json:"endedMs,omitempty"`
+	Spans      [][2]int `json:"spans,omitempty"`    // occurrences that are done: first, last
 	Done       [][]int  `json:"done,omitempty"`     // rows: occurrence, step, task indexes...; no indexes: all tasks
 	Failures   [][]int  `json:"failures,omitempty"` // rows: occurrence, step, task index, runs...
 	ExtraZones []string `json:"zones,omitempty"`
 }
 
+// maxRows is the number of rows for steps of done occurrences up to which they are stored as
+// rows, which entries of earlier versions read. Rows have about 10 bytes, and the record is
+// stored again with each change.
+const maxRows = 4096
+
+// IsCompact reports whether occurrences that are done are stored as spans. Entries of earlier
+// versions do not read these, so they must not take the job for theirs.
+func (prg *Progress) IsCompact() bool { return prg.Occurrences.Len()*prg.Steps > maxRows }
+
 // EncodeProgress returns the JSON record of a job's progress.
 func EncodeProgress(prg Progress) ([]byte, error) {
 	jsn := progressJSON{State: prg.State, Queue: prg.Queue, ExtraZones: prg.ExtraZones}
 	if prg.State.IsEnded() {
 		jsn.Ended, jsn.Address = prg.Ended.UnixMilli(), prg.Address
 	}
+	for _, spn := range prg.Occurrences.Spans() {
+		if prg.IsCompact() {
+			jsn.Spans = append(jsn.Spans, [2]int{spn.First, spn.Last})
+			continue
+		}
+		for num := spn.First; num <= spn.Last; num++ {
+			for step := range prg.Steps {
+				jsn.Done = append(jsn.Done, []int{num, step})
+			}
+		}
+	}
 	for _, don := range prg.Done {
 		row := []int{don.Occurrence, don.Step}
 		if !don.IsAll {
@@ -230,6 +256,12 @@
 		return Progress{}, errors.Newf("progress record has the state %d", jsn.State)
 	}
 	prg := Progress{State: jsn.State, Queue: jsn.Queue, Address: jsn.Address, Ended: time.UnixMilli(jsn.Ended), ExtraZones: jsn.ExtraZones}
+	for _, spn := range jsn.Spans {
+		if spn[0] < 0 || spn[1] < spn[0] || spn[1] >= plan.MaxOccurrences {
+			return Progress{}, errors.Newf("progress record has the occurrences %d to %d", spn[0], spn[1])
+		}
+		prg.Occurrences.AddSpan(numberset.Span{First: spn[0], Last: spn[1]})
+	}
 	for _, row := range jsn.Done {
 		if len(row) < 2 {
 			return Progress{}, errors.New("progress record has a row without a step")
--- a/internal/schedule/jobrecord/jobrecord_test.go
+++ b/internal/schedule/jobrecord/jobrecord_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
 	"daisywheel/internal/fleet/host"
+	"daisywheel/internal/job/numberset"
 	"daisywheel/internal/job/plan"
 	"daisywheel/internal/schedule/jobrecord"
 )
@@ -83,3 +85,34 @@
 		t.Errorf("progress %+v (%v)", prg, err)
 	}
 }
+
+// Entries of earlier versions read rows for the steps of occurrences. Rows are written as long as
+// they are few, and read in any number.
+func TestProgressOfOccurrencesBetweenVersions(t *testing.T) {
+	var occurrences numberset.Set
+	occurrences.AddSpan(numberset.Span{First: 0, Last: 1})
+	occurrences.Add(3)
+	few := jobrecord.Progress{State: jobrecord.Running, Queue: "q", Occurrences: occurrences, Steps: 2}
+	data, err := jobrecord.EncodeProgress(few)
+	if want := `{"state":1,"queue":"q","done":[[0,0],[0,1],[1,0],[1,1],[3,0],[3,1]]}`; err != nil || string(data) != want {
+		t.Errorf("%s (%v), want the rows of earlier versions", data, err)
+	}
+	prg, err := jobrecord.DecodeProgress(data)
+	if err != nil || len(prg.Done) != 6 || prg.Occurrences.Len() != 0 {
+		t.Errorf("rows decoded as %+v (%v)", prg, err)
+	}
+	few.Steps = 5000
+	data, err = jobrecord.EncodeProgress(few)
+	if want := `{"state":1,"queue":"q","spans":[[0,1],[3,3]]}`; err != nil || string(data) != want || !few.IsCompact() {
+		t.Errorf("%s (%v), want spans", data, err)
+	}
+	prg, err = jobrecord.DecodeProgress(data)
+	if err != nil || !slices.Equal(prg.Occurrences.Spans(), occurrences.Spans()) {
+		t.Errorf("spans decoded as %+v (%v)", prg, err)
+	}
+	for _, bad := range []string{`{"spans":[[3,1]]}`, `{"spans":[[-1,1]]}`, `{"spans":[[0,99999999]]}`} {
+		if _, err := jobrecord.DecodeProgress([]byte(bad)); err == nil {
+			t.Errorf("%s is accepted", bad)
+		}
+	}
+}
--- a/internal/schedule/owner/append.go
+++ b/internal/schedule/owner/append.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"daisywheel/internal/fleet/host"
 	"daisywheel/internal/result/code"
 	"daisywheel/internal/result/fault"
 	"daisywheel/internal/schedule/jobrecord"
@@ -24,17 +25,39 @@
 	appendTimeout = 200 * time.Millisecond
 	// appendRetryDelay is the delay before a retry.
 	appendRetryDelay = 20 * time.Millisecond
-	// maxBatchBytes is the size from which a batch takes no more jobs; the state log
-	// accepts 2 MiB per append.
-	maxBatchBytes = 1 << 20
+	// maxAppendBytes bounds the records of one append; the state log accepts 2 MiB.
+	maxAppendBytes = 1 << 20
 )
 
-// batch holds the records of one append and what waits for it.
+// batch holds records to append and what waits for them.
 type batch struct {
 	subs    []*submission
 	changes poolscheduler.Batch
 	waiters []chan struct{}
 	records []statelog.Record
+	isPart  bool // other records of the changes follow in another append
+}
+
+// recordBytes returns the size of a record in an append.
+func recordBytes(rec statelog.Record) int {
+	const lengths = 5 // of the record and of its key
+	return lengths + len(rec.Key) + len(rec.Value)
+}
+
+// split returns batches for one append each. The first one has all submissions, the last one
+// completes the changes.
+func (bat batch) split() []batch {
+	var parts []batch
+	size, from := 0, 0
+	for i, rec := range bat.records {
+		if size += recordBytes(rec); size > maxAppendBytes && i > from {
+			parts = append(parts, batch{changes: bat.changes, waiters: bat.waiters, records: bat.records[from:i], isPart: true})
+			size, from = recordBytes(rec), i
+		}
+	}
+	parts = append(parts, batch{changes: bat.changes, waiters: bat.waiters, records: bat.records[from:]})
+	parts[0].subs = bat.subs
+	return parts
 }
 
 // appendLoop appends pending records to the state log, one batch at a time.
@@ -56,10 +79,7 @@
 				own.rollBackBatch(bat)
 				sleep(own.quit, logRetryDelay)
 			} else if len(bat.records) > 0 {
-				seq++
-				if !own.appendBatch(bat, seq) {
-					seq-- // the sequence number was not used
-				}
+				seq = own.appendParts(bat, seq)
 			} else {
 				own.completeBatch(bat)
 			}
@@ -70,6 +90,18 @@
 	}
 }
 
+// appendParts appends a batch in as many appends as it needs. It returns the last sequence
+// number that was used, given the last one before.
+func (own *Owner) appendParts(bat batch, seq int64) int64 {
+	for _, part := range bat.split() {
+		if own.isEnding() || !own.appendBatch(part, seq+1) {
+			return seq
+		}
+		seq++
+	}
+	return seq
+}
+
 // recordQueues records that the pool has jobs of the queues of the batch, before their jobs
 // are stored. The first batch of a term records those of earlier terms too, which entries of
 // earlier versions did not record.
@@ -102,23 +134,27 @@
 	own.mu.Lock()
 	defer own.mu.Unlock()
 	size := 0
-	for len(own.queued) > 0 && size < maxBatchBytes {
+	for len(own.queued) > 0 {
 		sub := own.queued[0]
-		own.queued = own.queued[1:]
 		sub.job.Zone = own.sch.HomeZoneFor(sub.job.Plan)
 		data, err := jobrecord.EncodeJob(sub.job)
-		if err != nil {
-			own.resolve(sub, fault.Wrap(err, code.BadShape, "job cannot be stored"))
+		rec := statelog.Record{Key: jobKey(own.cfg.Pool, sub.job.Plan.ID), Value: data}
+		if err != nil || !own.isStorable(rec) {
+			own.queued = own.queued[1:]
+			own.resolve(sub, fault.New(code.BadShape, "job cannot be stored in %d bytes (%v)", recordBytes(rec), err))
 			continue
 		}
-		size += len(data)
+		if size += recordBytes(rec); size > maxAppendBytes && len(bat.subs) > 0 {
+			break
+		}
+		own.queued = own.queued[1:]
 		bat.subs = append(bat.subs, sub)
-		bat.records = append(bat.records, statelog.Record{Key: jobKey(own.cfg.Pool, sub.job.Plan.ID), Value: data})
+		bat.records = append(bat.records, rec)
 	}
 	bat.changes = own.sch.TakeBatch()
 	bat.waiters, own.waiters = own.waiters, nil
-	for _, upd := range bat.changes.Updates {
-		bat.records = own.addUpdate(now, bat.records, upd)
+	for i := range bat.changes.Updates {
+		bat.records = own.addUpdate(now, bat.records, &bat.changes.Updates[i])
 	}
 	bat.records = own.addVMs(now, bat.records, &bat.changes)
 	for _, id := range own.sch.DropEndedJobs(now) {
@@ -130,34 +166,65 @@
 	return bat, len(own.queued) > 0
 }
 
+// isStorable reports whether the state log accepts a record of this length. It refuses an
+// append with a longer one, and with it all other changes of the pool.
+func (own *Owner) isStorable(rec statelog.Record) bool {
+	return own.cfg.MaxRecord <= 0 || recordBytes(rec) <= own.cfg.MaxRecord
+}
+
+// addVMs adds the records of VMs. A VM whose record can't be stored is removed from the
+// changes, so that no tasks run there.
 func (own *Owner) addVMs(now time.Time, recs []statelog.Record, chg *poolscheduler.Batch) []statelog.Record {
-	for _, hst := range chg.AddedVMs {
+	chg.AddedVMs = slices.DeleteFunc(chg.AddedVMs, func(hst host.Host) bool {
 		data, err := jobrecord.EncodeHost(hst)
-		if err != nil {
-			own.cfg.Journal.Warn(now, "vmUnstored", slog.String("vm", hst.ID), slog.String("error", err.Error()))
-			continue
+		rec := statelog.Record{Key: vmKey(own.cfg.Pool, hst.ID), Value: data}
+		if err == nil && own.isStorable(rec) {
+			recs = append(recs, rec)
+			return false
 		}
-		recs = append(recs, statelog.Record{Key: vmKey(own.cfg.Pool, hst.ID), Value: data})
-	}
+		own.cfg.Journal.Warn(now, "vmUnstored", slog.String("vm", hst.ID), slog.Int("bytes", recordBytes(rec)), slog.Any("error", err))
+		return true
+	})
 	for _, id := range chg.RemovedVMs {
 		recs = append(recs, statelog.Record{Key: vmKey(own.cfg.Pool, id)})
 	}
 	return recs
 }
 
-func (own *Owner) addUpdate(now time.Time, recs []statelog.Record, upd poolscheduler.JobUpdate) []statelog.Record {
-	data, err := jobrecord.EncodeProgress(upd.Progress)
-	if err != nil {
-		own.cfg.Journal.Warn(now, "progressUnstored", slog.String("job", upd.ID), slog.String("error", err.Error()))
-		return recs
+// addUpdate adds the records of a job's progress. A job whose progress can't be stored ends as
+// failed.
+func (own *Owner) addUpdate(now time.Time, recs []statelog.Record, upd *poolscheduler.JobUpdate) []statelog.Record {
+	rec, err := own.encodeUpdate(upd)
+	if err != nil || !own.isStorable(rec) {
+		own.cfg.Journal.Warn(now, "progressUnstored", slog.String("job", upd.ID), slog.Int("bytes", recordBytes(rec)), slog.Any("error", err))
+		upd.Progress, upd.Submission = own.sch.FailUnstorable(now, upd.ID), nil
+		if rec, err = own.encodeUpdate(upd); err != nil {
+			return recs
+		}
 	}
-	recs = append(recs, statelog.Record{Key: progressKey(own.cfg.Pool, upd.ID), Value: data})
+	if upd.Submission != nil {
+		data, err := jobrecord.EncodeJob(*upd.Submission)
+		if err != nil {
+			own.cfg.Journal.Warn(now, "jobNotSetApart", slog.String("job", upd.ID), slog.String("error", err.Error()))
+			return append(recs, rec)
+		}
+		return append(recs, statelog.Record{Key: apartKey(own.cfg.Pool, upd.ID), Value: data}, rec, statelog.Record{Key: jobKey(own.cfg.Pool, upd.ID)})
+	}
+	recs = append(recs, rec)
 	if upd.Progress.State.IsEnded() {
 		recs = append(recs, statelog.Record{Key: jobKey(own.cfg.Pool, upd.ID)})
+		if upd.MayBeSetApart {
+			recs = append(recs, statelog.Record{Key: apartKey(own.cfg.Pool, upd.ID)})
+		}
 	}
 	return recs
 }
 
+func (own *Owner) encodeUpdate(upd *poolscheduler.JobUpdate) (statelog.Record, error) {
+	data, err := jobrecord.EncodeProgress(upd.Progress)
+	return statelog.Record{Key: progressKey(own.cfg.Pool, upd.ID), Value: data}, err
+}
+
 // appendBatch appends the batch, retrying until the outcome is known or the term
 // ends. It reports whether the batch is stored; false also if the term ends first.
 func (own *Owner) appendBatch(bat batch, seq int64) bool {
@@ -216,7 +283,7 @@
 }
 
 // completeBatch handles a batch that is stored: it resolves the submissions and
-// updates the pool scheduler.
+// updates the pool scheduler, once all records of the changes are stored.
 func (own *Owner) completeBatch(bat batch) {
 	now := time.Now()
 	own.mu.Lock()
@@ -227,9 +294,11 @@
 		own.event(now, "jobStored", slog.String("job", sub.job.Plan.ID), slog.String("queue", sub.job.Queue),
 			slog.Int("steps", len(sub.job.Plan.Steps)), slog.Duration("after", now.Sub(sub.job.FirstAttempt)))
 	}
-	own.sch.CommitBatch(bat.changes)
-	for _, wtr := range bat.waiters {
-		close(wtr)
+	if !bat.isPart {
+		own.sch.CommitBatch(bat.changes)
+		for _, wtr := range bat.waiters {
+			close(wtr)
+		}
 	}
 	if len(bat.subs) > 0 {
 		own.requestPlan()
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -53,6 +53,7 @@
 	Address         string
 	MaxLease        time.Duration
 	StatusRetention time.Duration
+	MaxRecord       int // longest record that the state log accepts, in bytes
 	StateLog        statelog.Client
 	PoolIndex       *poolindex.Index
 	Agent           agent.Client
@@ -156,12 +157,14 @@
 // Topic of the job records, and the key prefixes of a pool's records.
 const (
 	jobPrefix      = "j/"
+	apartPrefix    = "n/" // of submissions that are set apart, see poolscheduler.JobUpdate
 	progressPrefix = "p/"
 	vmPrefix       = "v/"
 	jobsTopic      = "jobs"
 )
 
 func jobKey(pool, id string) string      { return pool + "/" + jobPrefix + id }
+func apartKey(pool, id string) string    { return pool + "/" + apartPrefix + id }
 func vmKey(pool, id string) string       { return pool + "/" + vmPrefix + id }
 func progressKey(pool, id string) string { return pool + "/" + progressPrefix + id }
 
@@ -228,7 +231,11 @@
 }
 
 func readRecord(rest string, value []byte, jobs map[string]*jobrecord.Job, progress map[string]jobrecord.Progress) error {
-	if id, ok := strings.CutPrefix(rest, jobPrefix); ok {
+	id, ok := strings.CutPrefix(rest, jobPrefix)
+	if !ok {
+		id, ok = strings.CutPrefix(rest, apartPrefix)
+	}
+	if ok {
 		jb, err := jobrecord.DecodeJob(value)
 		if err == nil {
 			jobs[id] = &jb
--- a/internal/schedule/owner/owner_test.go
+++ b/internal/schedule/owner/owner_test.go
@@ -47,6 +47,7 @@
 	begun time.Time
 	// suspended is the time for which the owners' machines were suspended.
 	suspended atomic.Int64 // nanoseconds
+	maxRecord int
 }
 
 func newFixture(t *testing.T, vms int, cfg logstore.Config) *fixture {
@@ -71,7 +72,7 @@
 	}, hosts)
 	tab := queue.NewTable(1, []queue.Queue{{Name: "passes", Pool: pool, MaxAttempts: 3, DeadlineFactor: 1.6, LatencyGoal: time.Second}},
 		[]queue.Pool{{Name: pool}})
-	return &fixture{t: t, store: logstore.New(cfg), fleet: flt, table: tab, begun: time.Now()}
+	return &fixture{t: t, store: logstore.New(cfg), fleet: flt, table: tab, begun: time.Now(), maxRecord: cfg.MaxRecord}
 }
 
 func (fxt *fixture) open() *owner.Owner {
@@ -83,7 +84,7 @@
 	fxt.t.Helper()
 	own, err := owner.Open(fxt.t.Context(), time.Now(), owner.Config{
 		RequestReport: func() {}, SinceBoot: func() time.Duration { return time.Since(fxt.begun) + time.Duration(fxt.suspended.Load()) },
-		Pool: pool, Address: "peer", MaxLease: maxLease, StatusRetention: time.Minute, StateLog: log, PoolIndex: poolindex.New(poolindex.Config{StateLog: log, Journal: journal.New(journal.Config{})}),
+		Pool: pool, Address: "peer", MaxLease: maxLease, StatusRetention: time.Minute, MaxRecord: fxt.maxRecord, StateLog: log, PoolIndex: poolindex.New(poolindex.Config{StateLog: log, Journal: journal.New(journal.Config{})}),
 		Agent: agt, Journal: journal.New(journal.Config{}), Metrics: metrics.NewSet(), Table: fxt.table,
 	})
 	if err != nil {
--- a/internal/schedule/poolscheduler/end.go
+++ b/internal/schedule/poolscheduler/end.go
@@ -132,9 +132,9 @@
 		}
 		return
 	}
-	jst.doneOccurrenceCount++
-	jst.doneOccurrences = append(jst.doneOccurrences, sst.occurrence)
-	if jst.doneOccurrenceCount == len(jst.occurrences) {
+	jst.done.Add(sst.occurrence)
+	jst.occurrences[sst.occurrence] = nil
+	if jst.done.Len() == len(jst.occurrences) {
 		sch.endJob(now, jst, jobrecord.Completed, "done")
 	}
 }
--- a/internal/schedule/poolscheduler/poolscheduler.go
+++ b/internal/schedule/poolscheduler/poolscheduler.go
@@ -182,7 +182,7 @@
 		if jst.plan.IsRepeating() && now.Before(dueAt(jst.plan, jst.nextOccurrence)) {
 			return
 		}
-		if !sch.isOccurrenceDone(jst, jst.nextOccurrence) {
+		if !jst.done.Has(jst.nextOccurrence) {
 			sch.openOccurrence(jst, jst.nextOccurrence)
 		}
 		jst.nextOccurrence++
@@ -203,15 +203,6 @@
 	return pln.FirstAt.Add(time.Duration(num) * pln.Interval)
 }
 
-func (sch *Scheduler) isOccurrenceDone(jst *jobState, num int) bool {
-	for _, occ := range jst.doneOccurrences {
-		if occ == num {
-			return true
-		}
-	}
-	return false
-}
-
 func (sch *Scheduler) openOccurrence(jst *jobState, num int) {
 	if jst.occurrences[num] != nil {
 		return
@@ -337,6 +328,16 @@
 		slog.Bool("inTime", !now.After(sch.deadline(jst, jst.nextOccurrence-1))))
 }
 
+// FailUnstorable ends a job as failed whose progress is too long to be stored, and returns the
+// progress to store instead.
+func (sch *Scheduler) FailUnstorable(now time.Time, id string) jobrecord.Progress {
+	jst := sch.jobs[id]
+	sch.endJob(now, jst, jobrecord.Failed, "progress is too long to be stored")
+	delete(sch.dirtyJobs, id)
+	jst.isDirty = false
+	return progressOf(jst)
+}
+
 func (sch *Scheduler) markDirty(jst *jobState) {
 	jst.isDirty = true
 	sch.isUrgent = sch.isUrgent || jst.state.IsEnded()
--- a/internal/schedule/poolscheduler/record.go
+++ b/internal/schedule/poolscheduler/record.go
@@ -14,6 +14,11 @@
 type JobUpdate struct {
 	ID       string
 	Progress jobrecord.Progress
+	// Submission is set when the record of the submission is to be set apart, so that entries
+	// of earlier versions, which can't read the progress, do not run the job.
+	Submission *jobrecord.Job
+	// MayBeSetApart is set when that may have been done.
+	MayBeSetApart bool
 }
 
 // Batch is the content of one append to the state log. Once it is stored, the run ends
@@ -38,7 +43,7 @@
 	for id := range sch.dirtyJobs {
 		jst := sch.jobs[id]
 		jst.isDirty = false
-		bat.Updates = append(bat.Updates, JobUpdate{ID: id, Progress: progressOf(jst)})
+		bat.Updates = append(bat.Updates, newJobUpdate(jst))
 	}
 	clear(sch.dirtyJobs)
 	sch.isUrgent = false
@@ -63,6 +68,7 @@
 	for _, upd := range bat.Updates {
 		if jst, ok := sch.jobs[upd.ID]; ok {
 			jst.storedState = upd.Progress.State
+			jst.isSetApart = jst.isSetApart || upd.Submission != nil
 			jst.extraZones = upd.Progress.ExtraZones
 			if slices.Contains(jst.extraZones, jst.requestedZone) {
 				jst.requestedZone = ""
@@ -109,6 +115,16 @@
 	return len(sch.dirtyJobs)+len(sch.vmRecordsToWrite)+len(sch.vmRecordsToDelete) > 0
 }
 
+func newJobUpdate(jst *jobState) JobUpdate {
+	upd := JobUpdate{ID: jst.plan.ID, Progress: progressOf(jst), MayBeSetApart: jst.plan.IsRepeating()}
+	if upd.Progress.IsCompact() && !jst.isSetApart {
+		upd.Submission = &jobrecord.Job{
+			Plan: jst.plan, Queue: jst.queue.Name, Address: jst.queue.Address, FirstAttempt: jst.waitingSince, Zone: jst.homeZone,
+		}
+	}
+	return upd
+}
+
 func progressOf(jst *jobState) jobrecord.Progress {
 	prg := jobrecord.Progress{State: jst.state, Queue: jst.queue.Name, Address: jst.queue.Address, Ended: jst.endedAt}
 	if jst.state.IsEnded() {
@@ -121,13 +137,9 @@
 	if jst.requestedZone != "" && !slices.Contains(prg.ExtraZones, jst.requestedZone) {
 		prg.ExtraZones = append(prg.ExtraZones, jst.requestedZone)
 	}
-	for _, num := range jst.doneOccurrences {
-		for i := range jst.plan.Steps {
-			prg.Done = append(prg.Done, jobrecord.DoneTasks{Occurrence: num, Step: i, IsAll: true})
-		}
-	}
+	prg.Occurrences, prg.Steps = jst.done.Clone(), len(jst.plan.Steps)
 	for num, occ := range jst.occurrences {
-		if occ == nil || occ.stepsLeft == 0 {
+		if occ == nil {
 			continue
 		}
 		for _, sst := range occ.steps {
@@ -166,6 +178,7 @@
 		return
 	}
 	jst := sch.newJobState(firstAttemptTime(now, *jb), *jb)
+	jst.isSetApart = prg.Occurrences.Len() > 0
 	jst.extraZones = prg.ExtraZones
 	jst.isInherited, jst.storedState = !sch.cfg.IsFirstTerm, prg.State
 	jst.hasBegun = prg.State == jobrecord.Running
@@ -178,6 +191,7 @@
 
 // restoreDoneOccurrences finds the occurrences whose steps are all done.
 func (sch *Scheduler) restoreDoneOccurrences(jst *jobState, prg jobrecord.Progress) {
+	jst.done = prg.Occurrences.Clone()
 	doneSteps := map[int]int{}
 	for _, don := range prg.Done {
 		if don.IsAll {
@@ -186,8 +200,7 @@
 	}
 	for num, count := range doneSteps {
 		if count == len(jst.plan.Steps) {
-			jst.doneOccurrences = append(jst.doneOccurrences, num)
-			jst.doneOccurrenceCount++
+			jst.done.Add(num)
 		}
 	}
 }
@@ -234,7 +247,7 @@
 // or does not exist. It opens an occurrence that is not open yet: one with stored
 // progress may not be due by this owner's clock.
 func (sch *Scheduler) openedOccurrence(jst *jobState, num int) *occurrence {
-	if num < 0 || num >= len(jst.occurrences) || sch.isOccurrenceDone(jst, num) {
+	if num < 0 || num >= len(jst.occurrences) || jst.done.Has(num) {
 		return nil
 	}
 	if jst.occurrences[num] == nil {
--- /dev/null
+++ b/internal/schedule/poolscheduler/repeating_test.go
@@ -0,0 +1,80 @@
+package poolscheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"daisywheel/internal/fleet/agent"
+	"daisywheel/internal/job/plan"
+	"daisywheel/internal/schedule/jobrecord"
+	"daisywheel/internal/schedule/poolscheduler"
+)
+
+// repeatingJob returns a job whose occurrences fall due each second from start on.
+func repeatingJob(times int, steps ...plan.Step) jobrecord.Job {
+	return jobrecord.Job{Queue: "q", FirstAttempt: start, Plan: &plan.Plan{
+		ID: jobID, Steps: steps, RepeatCount: times, FirstAt: start, Interval: time.Second,
+	}}
+}
+
+// runAll completes each task that is ordered, until none is.
+func runAll(now time.Time, sch *poolscheduler.Scheduler, number *int64) (runs int) {
+	for {
+		orders := starts(sch.Plan(now))
+		if len(orders) == 0 {
+			return runs
+		}
+		var ended []agent.End
+		for _, ord := range orders {
+			*number++
+			sch.HandleStartOutcome(now, ord, agent.Done)
+			ended = append(ended, agent.End{Number: *number, Task: ord.Task, Run: ord.Run, Reason: agent.EndedDone})
+		}
+		sch.HandleReport(now, now, "a", agent.Report{Incarnation: 1, Ended: ended})
+		runs += len(orders)
+	}
+}
+
+// The progress of a repeating job named each step of each occurrence that was done.
+func TestProgressOfManyOccurrencesStaysShort(t *testing.T) {
+	const steps, times = 64, 600
+	list := make([]plan.Step, steps)
+	for i := range list {
+		list[i] = step(1, 10)
+	}
+	sch, _ := newScheduler(true)
+	addVMs(start, sch, vm("a", 1))
+	job := repeatingJob(times, list...)
+	sch.Accept(start, job)
+	number := int64(0)
+	for num := range times - 1 {
+		now := start.Add(time.Duration(num) * time.Second)
+		sch.Tick(now)
+		if got := runAll(now, sch, &number); got != steps {
+			t.Fatalf("%d runs of occurrence %d, want %d", got, num, steps)
+		}
+	}
+	bat := sch.TakeBatch()
+	if len(bat.Updates) != 1 || bat.Updates[0].Submission == nil {
+		t.Fatalf("updates %+v, want one that sets the submission apart", bat.Updates)
+	}
+	data, err := jobrecord.EncodeProgress(bat.Updates[0].Progress)
+	if err != nil || len(data) > 1000 {
+		t.Fatalf("progress of %d occurrences has %d bytes (%v)", times-1, len(data), err)
+	}
+	progress, err := jobrecord.DecodeProgress(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next, _ := newScheduler(false)
+	now := start.Add(times * time.Second)
+	addVMs(now, next, vm("a", 1))
+	next.RestoreJob(now, jobID, &job, progress)
+	if got := runAll(now, next, &number); got != steps {
+		t.Errorf("%d runs by the next owner, want the %d of the last occurrence", got, steps)
+	}
+	next.CommitBatch(next.TakeBatch())
+	if ste, _ := next.State(jobID); ste != jobrecord.Completed {
+		t.Errorf("the job is %s", ste)
+	}
+}
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -79,6 +79,7 @@
 	MinTTL          time.Duration // shortest membership TTL that the log accepts
 	OrderRate       float64       // orders for machines per second, of the whole fleet
 	StatusRetention time.Duration
+	MaxRecord       int // longest record that the log accepts, in bytes
 	StateLog        statelog.Client
 	Directory       directory.Client
 	Agent           agent.Client
@@ -449,7 +450,7 @@
 	}
 	own, err := owner.Open(ctx, time.Now(), owner.Config{
 		Pool: pool, Partition: group.PartitionOf(pool, svc.cfg.Partitions), Address: svc.cfg.PeerAddress, MaxLease: min(svc.cfg.MaxLease, leaseDuration),
-		StatusRetention: svc.cfg.StatusRetention, StateLog: svc.cfg.StateLog, PoolIndex: svc.poolIndex, Agent: svc.cfg.Agent, Journal: svc.cfg.Journal,
+		StatusRetention: svc.cfg.StatusRetention, MaxRecord: svc.cfg.MaxRecord, StateLog: svc.cfg.StateLog, PoolIndex: svc.poolIndex, Agent: svc.cfg.Agent, Journal: svc.cfg.Journal,
 		Metrics: svc.cfg.Metrics, Table: tab, RequestReport: svc.requestReport,
 	})
 	now := time.Now()
--- a/internal/standin/logstore/logstore.go
+++ b/internal/standin/logstore/logstore.go
@@ -34,6 +34,8 @@
 type Config struct {
 	Latency time.Duration
 	Fault   func(app statelog.AppendRequest) Fault
+	// Longer records and appends are refused, in bytes; 0: none are.
+	MaxRecord, MaxAppend int
 }
 
 // Store is an in-memory state log. It is safe for concurrent use.
@@ -87,6 +89,9 @@
 		return 0, err
 	}
 	flt := sto.cfg.Fault(app)
+	if !sto.fits(app) {
+		flt = Down
+	}
 	switch flt {
 	case Down:
 		return 0, statelog.ErrNotAppended
@@ -104,6 +109,20 @@
 	return offset, err
 }
 
+// fits reports whether the append keeps to the limits of its length and of its records'.
+func (sto *Store) fits(app statelog.AppendRequest) bool {
+	const lengths = 5 // of the record and of its key
+	sum := 0
+	for _, rec := range app.Records {
+		size := lengths + len(rec.Key) + len(rec.Value)
+		if sto.cfg.MaxRecord > 0 && size > sto.cfg.MaxRecord {
+			return false
+		}
+		sum += size
+	}
+	return sto.cfg.MaxAppend <= 0 || sum <= sto.cfg.MaxAppend
+}
+
 func (sto *Store) awaitLatency(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
