Limit the tasks of a job's open occurrences

Cause: all overdue occurrences of a scheduled job opened at once.

Now an occurrence opens while the open ones have no more than 4,096 tasks with it, as many as one occurrence may have; the next one opens as soon as one is done.

TestOverdueOccurrencesOpenAsOthersEnd fails before: "200000 starts at once, want those of two occurrences of 2000 tasks".

--- a/internal/schedule/poolscheduler/end.go
+++ b/internal/schedule/poolscheduler/end.go
@@ -134,7 +134,11 @@
 	}
 	jst.done.Add(sst.occurrence)
 	jst.occurrences[sst.occurrence] = nil
+	jst.openOccurrences--
 	if jst.done.Len() == len(jst.occurrences) {
 		sch.endJob(now, jst, jobrecord.Completed, "done")
+		return
 	}
+	sch.openDueOccurrences(now, jst)
+	sch.updateTimedJobs(jst)
 }
--- a/internal/schedule/poolscheduler/poolscheduler.go
+++ b/internal/schedule/poolscheduler/poolscheduler.go
@@ -183,12 +183,25 @@
 			return
 		}
 		if !jst.done.Has(jst.nextOccurrence) {
+			if !jst.mayOpenAnother() {
+				return
+			}
 			sch.openOccurrence(jst, jst.nextOccurrence)
 		}
 		jst.nextOccurrence++
 	}
 }
 
+// mayOpenAnother reports whether the tasks of another occurrence would keep the job within
+// plan.MaxTasks, which bounds its memory and its progress record. One may always be open.
+func (jst *jobState) mayOpenAnother() bool {
+	tasks := 0
+	for i := range jst.plan.Steps {
+		tasks += jst.plan.Steps[i].Count
+	}
+	return jst.openOccurrences == 0 || (jst.openOccurrences+1)*tasks <= plan.MaxTasks
+}
+
 // updateTimedJobs adds the job to timedJobs while it has occurrences that are not due
 // yet, and removes it otherwise.
 func (sch *Scheduler) updateTimedJobs(jst *jobState) {
@@ -219,6 +232,7 @@
 		occ.steps = append(occ.steps, sst)
 	}
 	jst.occurrences[num] = occ
+	jst.openOccurrences++
 	for _, sst := range occ.steps {
 		sch.openIfReady(occ, sst)
 	}
--- a/internal/schedule/poolscheduler/repeating_test.go
+++ b/internal/schedule/poolscheduler/repeating_test.go
@@ -78,3 +78,34 @@
 		t.Errorf("the job is %s", ste)
 	}
 }
+
+// All overdue occurrences of a job were opened at once, more than the memory of an entry holds and
+// more than a record of their progress.
+func TestOverdueOccurrencesOpenAsOthersEnd(t *testing.T) {
+	const times, tasks = 100, 2000
+	sch, _ := newScheduler(true)
+	now := start.Add(2 * times * time.Second)
+	large := vm("a", 1)
+	large.Capacity = plan.Demand{MilliCores: 1 << 20, MemoryMB: 1 << 20}
+	addVMs(now, sch, large)
+	sch.Accept(now, repeatingJob(times, step(tasks, 1)))
+	number := int64(0)
+	first := starts(sch.Plan(now))
+	if len(first) != 2*tasks {
+		t.Fatalf("%d starts at once, want those of two occurrences of %d tasks, as a job may have %d", len(first), tasks, plan.MaxTasks)
+	}
+	var ended []agent.End
+	for _, ord := range first {
+		number++
+		sch.HandleStartOutcome(now, ord, agent.Done)
+		ended = append(ended, agent.End{Number: number, Task: ord.Task, Run: ord.Run, Reason: agent.EndedDone})
+	}
+	sch.HandleReport(now, now, "a", agent.Report{Incarnation: 1, Ended: ended})
+	if runs := len(first) + runAll(now, sch, &number); runs != times*tasks {
+		t.Errorf("%d runs, want %d", runs, times*tasks)
+	}
+	sch.CommitBatch(sch.TakeBatch())
+	if ste, _ := sch.State(jobID); ste != jobrecord.Completed {
+		t.Errorf("the job is %s", ste)
+	}
+}
--- a/internal/schedule/poolscheduler/state.go
+++ b/internal/schedule/poolscheduler/state.go
@@ -74,24 +74,25 @@
 
 // jobState is the state of one job.
 type jobState struct {
-	plan           *plan.Plan
-	queue          queue.Ref
-	waitingSince   time.Time     // since when its caller has been waiting
-	occurrences    []*occurrence // by number; nil while not due, and once done
-	done           numberset.Set // occurrences that are done
-	nextOccurrence int           // number of the next occurrence to open
-	state          jobrecord.State
-	storedState    jobrecord.State // state in the state log
-	endedAt        time.Time
-	isInherited    bool     // stored before this owner's term
-	isDirty        bool     // its progress is to be stored
-	isOrderLogged  bool     // its first start order has been logged
-	hasBegun       bool     // a VM is known to have begun a run of a task
-	placedTasks    int      // tasks on VMs, starting, running or stopping
-	homeZone       string   // zone that its tasks are confined to; empty for no restriction
-	extraZones     []string // other zones where its tasks may run, as stored
-	requestedZone  string   // zone that is to be stored as an extra one; empty for none
-	isSetApart     bool     // its submission is stored where entries of earlier versions do not look
+	plan            *plan.Plan
+	queue           queue.Ref
+	waitingSince    time.Time     // since when its caller has been waiting
+	occurrences     []*occurrence // by number; nil while not due, and once done
+	openOccurrences int           // number of those that are not nil
+	done            numberset.Set // occurrences that are done
+	nextOccurrence  int           // number of the next occurrence to open
+	state           jobrecord.State
+	storedState     jobrecord.State // state in the state log
+	endedAt         time.Time
+	isInherited     bool     // stored before this owner's term
+	isDirty         bool     // its progress is to be stored
+	isOrderLogged   bool     // its first start order has been logged
+	hasBegun        bool     // a VM is known to have begun a run of a task
+	placedTasks     int      // tasks on VMs, starting, running or stopping
+	homeZone        string   // zone that its tasks are confined to; empty for no restriction
+	extraZones      []string // other zones where its tasks may run, as stored
+	requestedZone   string   // zone that is to be stored as an extra one; empty for none
+	isSetApart      bool     // its submission is stored where entries of earlier versions do not look
 }
 
 // vmState is the state of one VM. A restart under the same id keeps the vmState and
