Leave out entries in the list of VMs whose values no VM can have

Operators of similar systems told of odd entries among those of the VMs, after which machines ended or stopped following the list. Neither happens here, but entries that can be decoded were taken for VMs whatever their values are.

Cause: the decoder checked that fields are there and have their types, not their values. An entry that names no VM also takes back what was announced under its id, as when the list is read anew. A VM that answers a poll sent after its restart was listed has not restarted; that also serves VMs whose clock was set back. Keys that are too long are refused before the append.

--- a/internal/schedule/owner/append.go
+++ b/internal/schedule/owner/append.go
@@ -169,6 +169,9 @@
 // isStorable reports whether the state log accepts a record of this length. It refuses an
 // append with a longer one, and with it all other changes of the pool.
 func (own *Owner) isStorable(rec statelog.Record) bool {
+	if len(rec.Key) > statelog.MaxKeyBytes {
+		return false
+	}
 	return own.cfg.MaxRecord <= 0 || recordBytes(rec) <= own.cfg.MaxRecord
 }
 
--- a/internal/schedule/poolscheduler/report.go
+++ b/internal/schedule/poolscheduler/report.go
@@ -96,7 +96,16 @@
 		return
 	}
 	if rpt.Incarnation != 0 && vst.incarnation != 0 && rpt.Incarnation < vst.incarnation {
-		return // a late answer of an earlier incarnation
+		if !sent.After(vst.restartedAt) {
+			return // a late answer of an earlier incarnation
+		}
+		// The incarnation has answered a poll that was sent after its end was learned, so the
+		// list names one that does not exist.
+		sch.cfg.Event(now, "vmNotReborn", slog.String("vm", id), slog.Int64("born", rpt.Incarnation), slog.Int64("listed", vst.incarnation))
+		vst.disproved = vst.incarnation
+		sch.handleRestart(now, vst, rpt.Incarnation)
+		vst.host.Incarnation = rpt.Incarnation
+		sch.requestVMRecord(vst)
 	}
 	if rpt.Incarnation != 0 && rpt.Incarnation > vst.incarnation {
 		if vst.incarnation != 0 {
--- a/internal/schedule/poolscheduler/restart_test.go
+++ b/internal/schedule/poolscheduler/restart_test.go
@@ -69,3 +69,43 @@
 		t.Errorf("%d starts once all VMs have reported, want 1", got)
 	}
 }
+
+// The list of VMs showed a start time in the far future for a VM. Its owner took all its reports for
+// late answers of an ended incarnation, and never used it again.
+func TestFalseIncarnationInListIsDisproved(t *testing.T) {
+	sch, events := newScheduler(true)
+	addVMs(start, sch, vm("a", 1))
+	sch.SetListedVMs(start, []host.Host{vm("a", 1<<41)})
+	now := start.Add(time.Second)
+	sch.HandleReport(now, start, "a", agent.Report{Incarnation: 1}) // of a poll from before
+	accept(now, sch, step(1, 1000))
+	sch.CommitBatch(sch.TakeBatch())
+	if got := len(starts(sch.Plan(now))); got != 0 {
+		t.Errorf("%d starts on a VM that may have restarted", got)
+	}
+	for range 3 {
+		sch.HandleReport(now, now, "a", agent.Report{Incarnation: 1})
+		sch.SetListedVMs(now, []host.Host{vm("a", 1<<41)})
+		sch.CommitBatch(sch.TakeBatch())
+	}
+	if got := len(starts(sch.Plan(now))); got != 1 || events["vmReborn"] != 2 {
+		t.Errorf("%d starts and %d restarts, want 1 and 2", got, events["vmReborn"])
+	}
+	sch.SetListedVMs(now, []host.Host{vm("a", 2)})
+	if events["vmReborn"] != 3 {
+		t.Error("a restart after a false one is not noticed")
+	}
+}
+
+// A VM whose clock had been set back restarted. Its owner ignored all its reports.
+func TestRestartWithAnEarlierStartTimeIsNoticed(t *testing.T) {
+	sch, events := newScheduler(true)
+	addVMs(start, sch, vm("a", 5))
+	now := start.Add(time.Second)
+	sch.HandleReport(now, now, "a", agent.Report{Incarnation: 3})
+	sch.CommitBatch(sch.TakeBatch())
+	accept(now, sch, step(1, 1000))
+	if got := len(starts(sch.Plan(now))); got != 1 || events["vmReborn"] != 1 {
+		t.Errorf("%d starts after %d restarts, want 1 after 1", got, events["vmReborn"])
+	}
+}
--- a/internal/schedule/poolscheduler/state.go
+++ b/internal/schedule/poolscheduler/state.go
@@ -113,6 +113,8 @@
 	isMaintenanceDue    bool          // a maintenance wave will reach it
 	isDelayLogged       bool          // the reason for its slow evacuation has been logged
 	incarnation         int64         // start time in Unix ms; 0 while unknown
+	disproved           int64         // incarnation that the list shows though it does not exist
+	restartedAt         time.Time     // when this owner learned of it after another one; zero for the first
 	clock               time.Duration // time on the VM's clock at clockAt
 	clockAt             time.Time
 	leaseEnd            time.Time // by the owner's clock: when the runs there have ended unless renewed
--- a/internal/schedule/poolscheduler/vm.go
+++ b/internal/schedule/poolscheduler/vm.go
@@ -45,6 +45,9 @@
 	if vst.host.IsDraining != hst.IsDraining {
 		sch.cfg.Event(now, "vmDraining", slog.String("vm", hst.ID), slog.Bool("draining", hst.IsDraining))
 	}
+	if hst.Incarnation == vst.disproved {
+		hst.Incarnation = vst.host.Incarnation
+	}
 	needsRecord := vst.host.Address != hst.Address || hst.Incarnation > vst.host.Incarnation
 	hst.Incarnation = max(hst.Incarnation, vst.host.Incarnation) // the list may lag behind a report
 	vst.host, vst.isListed = hst, true
@@ -119,6 +122,7 @@
 func (sch *Scheduler) handleRestart(now time.Time, vst *vmState, incarnation int64) {
 	undecided := 0
 	ended := vst.incarnation
+	vst.restartedAt = now
 	vst.incarnation, vst.hasReported, vst.isUnreconciled, vst.lastEndSeen, vst.lastEndStored = incarnation, false, false, 0, 0
 	vst.dropUnwantedRuns()
 	for _, tst := range vst.tasks {
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -344,8 +344,9 @@
 	}
 	for _, chg := range page.Changes {
 		switch {
-		case chg.Err != nil:
+		case chg.Err != nil: // it names no VM to use, whatever was announced under the id before
 			svc.cfg.Journal.Warn(now, "announcementUnusable", slog.String("vm", chg.ID), slog.String("error", chg.Err.Error()))
+			delete(svc.hosts, chg.ID)
 		case chg.IsGone:
 			delete(svc.hosts, chg.ID)
 		default:
--- a/internal/schedule/service/service_test.go
+++ b/internal/schedule/service/service_test.go
@@ -45,6 +45,7 @@
 	entries   []*service.Service
 	addresses []string // peer addresses of the entries
 	table     atomic.Pointer[queue.Table]
+	odd       atomic.Bool  // the announcement of vm-0 and one that names no VM can't be read
 	cut       atomic.Int32 // entry whose joins fail, or noEntry or allEntries
 	down      atomic.Bool  // the log fails all joins, appends and reads
 }
@@ -202,10 +203,17 @@
 
 func (ste *site) directory() directory.Client {
 	return directory.Client{
-		Hosts: func(context.Context, int64) (directory.HostPage, error) {
-			page := directory.HostPage{IsSnapshot: true}
+		Hosts: func(_ context.Context, cursor int64) (directory.HostPage, error) {
+			page := directory.HostPage{IsSnapshot: cursor == directory.StartCursor, Next: 1}
 			for _, hst := range ste.fleet.Hosts() {
-				page.Changes = append(page.Changes, directory.HostChange{ID: hst.ID, Host: hst})
+				chg := directory.HostChange{ID: hst.ID, Host: hst}
+				if ste.odd.Load() && hst.ID == "vm-0" {
+					chg = directory.HostChange{ID: hst.ID, Err: errors.New("deeply nested")}
+				}
+				page.Changes = append(page.Changes, chg)
+			}
+			if ste.odd.Load() {
+				page.Changes = append(page.Changes, directory.HostChange{ID: "odd", Err: errors.New("a port out of range")})
 			}
 			return page, nil
 		},
@@ -470,3 +478,42 @@
 	}
 	return found
 }
+
+// Another writer left odd entries among those of the VMs, one of them under the id of a VM. They
+// name no VM to use, and the others hold.
+func TestOddEntriesInTheListNameNoVM(t *testing.T) {
+	ste := startSite(t, 1)
+	ste.submit(ste.entries[0], job(1))
+	ste.await(ste.entries[0], job(1).ID)
+	ste.odd.Store(true)
+	time.Sleep(3 * time.Second) // an unlisted VM is used for 2.5 s, as the platform's list may lag behind
+	if ste.runsOn("vm-0", job(2)) {
+		t.Error("tasks run on a VM whose entry can't be read")
+	}
+	ste.odd.Store(false)
+	time.Sleep(time.Second)
+	if !ste.runsOn("vm-0", job(3)) {
+		t.Error("no task runs on a VM whose entry can be read again")
+	}
+	ste.stop()
+	ste.checkInvariants()
+}
+
+// runsOn runs the job with more tasks than the VMs hold at a time, and reports whether any ran on
+// the VM.
+func (ste *site) runsOn(vm string, pln *plan.Plan) bool {
+	ste.t.Helper()
+	pln.Steps[0].Count = 60
+	ste.submit(ste.entries[0], pln)
+	hasRun := false
+	for limit := time.Now().Add(testTimeout); ; time.Sleep(5 * time.Millisecond) {
+		hasRun = hasRun || ste.fleet.CountRunning(time.Now(), vm) > 0
+		state, _, err := ste.entries[0].Gateway().State(ste.t.Context(), passes, pln.ID)
+		if err == nil && state.IsEnded() {
+			return hasRun
+		}
+		if time.Now().After(limit) {
+			ste.t.Fatalf("job %s is %s (%v)", pln.ID, state, err)
+		}
+	}
+}
--- a/internal/schedule/statelog/statelog.go
+++ b/internal/schedule/statelog/statelog.go
@@ -22,6 +22,9 @@
 // AnyOffset makes an append unconditional: it goes to the end of the partition.
 const AnyOffset = -1
 
+// MaxKeyBytes is the length of the longest key.
+const MaxKeyBytes = 255
+
 // Record is a keyed record. An empty value deletes the key.
 type Record struct {
 	Key    string
