Open the occurrence of a run that a VM reports

Cause: the former owner starts what falls due until a VM tells it of its successor, which opens occurrences at its start and then at each tick. An end of an occurrence that was not open was dropped and acknowledged, and the task started again at the next tick; an active run was stopped without a tie to its task.

A report shows that an earlier owner has opened the occurrence, so it is opened then, as it is for progress in the log.

TestRunOfAnOccurrenceThatIsNotOpenIsKnown fails before: "it has completed: 2 starts for two occurrences, want 1".

--- a/internal/schedule/poolscheduler/end.go
+++ b/internal/schedule/poolscheduler/end.go
@@ -12,7 +12,7 @@
 // handleRunEnd handles the end of a run that a VM reports.
 func (sch *Scheduler) handleRunEnd(now time.Time, vst *vmState, end agent.End) {
 	vst.dropUnwantedRun(runKey{end.Task, end.Run})
-	tst := sch.findTask(end.Task)
+	tst := sch.reportedTask(end.Task)
 	if tst == nil || tst.phase == done {
 		return
 	}
--- a/internal/schedule/poolscheduler/repeating_test.go
+++ b/internal/schedule/poolscheduler/repeating_test.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"daisywheel/internal/fleet/agent"
+	"daisywheel/internal/fleet/host"
 	"daisywheel/internal/job/plan"
+	"daisywheel/internal/job/task"
 	"daisywheel/internal/schedule/jobrecord"
 	"daisywheel/internal/schedule/poolscheduler"
 )
@@ -109,3 +111,32 @@
 		t.Errorf("the job is %s", ste)
 	}
 }
+
+// An owner was replaced as an occurrence fell due, which it had started and its successor had not
+// opened yet. The successor dropped the end of the run, acknowledged it and started the task again.
+func TestRunOfAnOccurrenceThatIsNotOpenIsKnown(t *testing.T) {
+	run := agent.Run{Task: task.ID{Job: jobID, Occurrence: 1}, Number: 1}
+	for _, tst := range []struct {
+		name   string
+		report agent.Report
+		want   int
+	}{
+		{"it has completed", agent.Report{Incarnation: 1, Ended: []agent.End{{Number: 1, Task: run.Task, Run: 1, Reason: agent.EndedDone}}}, 1},
+		{"it is active", agent.Report{Incarnation: 1, Active: []agent.Run{run}}, 1},
+		{"it has failed", agent.Report{Incarnation: 1, Ended: []agent.End{{Number: 1, Task: run.Task, Run: 1, Reason: agent.EndedFailed}}}, 2},
+		{"it is of no occurrence", agent.Report{Incarnation: 1, Ended: []agent.End{{Number: 1, Task: task.ID{Job: jobID, Occurrence: 7}, Run: 1, Reason: agent.EndedDone}}}, 2},
+	} {
+		sch, _ := newScheduler(false)
+		sch.RestoreVM(start, vm("a", 1))
+		job := repeatingJob(2, step(1, 1000))
+		sch.RestoreJob(start, jobID, &job, jobrecord.Progress{}) // the second occurrence is due in a second
+		sch.SetListedVMs(start, []host.Host{vm("a", 1)})
+		sch.CommitBatch(sch.TakeBatch())
+		sch.HandleReport(start, start, "a", tst.report)
+		now := start.Add(time.Second)
+		sch.Tick(now)
+		if got := len(starts(sch.Plan(now))); got != tst.want {
+			t.Errorf("%s: %d starts for two occurrences, want %d", tst.name, got, tst.want)
+		}
+	}
+}
--- a/internal/schedule/poolscheduler/report.go
+++ b/internal/schedule/poolscheduler/report.go
@@ -172,11 +172,20 @@
 	return &occ.steps[tid.Step].tasks[tid.Index]
 }
 
+// reportedTask is findTask for a task that a VM reports. It opens an occurrence that is not
+// due by this owner's clock or since its last tick: an earlier owner has started it.
+func (sch *Scheduler) reportedTask(tid task.ID) *taskState {
+	if jst, ok := sch.jobs[tid.Job]; ok && !jst.state.IsEnded() {
+		sch.openedOccurrence(jst, tid.Occurrence)
+	}
+	return sch.findTask(tid)
+}
+
 // handleActiveRun handles a run that the VM reports as active: it updates the task if
 // the run is the current one, adopts the run if the task has none, and otherwise adds
 // it to the unwanted runs.
 func (sch *Scheduler) handleActiveRun(now time.Time, vst *vmState, sent time.Time, run agent.Run) {
-	tst := sch.findTask(run.Task)
+	tst := sch.reportedTask(run.Task)
 	if tst != nil {
 		sch.markBegun(now, tst, vst.host.ID)
 	}
