--- a/internal/standin/vmfleet/vmfleet.go
+++ b/internal/standin/vmfleet/vmfleet.go
@@ -20,6 +20,9 @@
 // ErrNoAnswer is the error of a call that gets no answer.
 var ErrNoAnswer = errors.New("stand-in: no answer")
 
+// maxSilence is how long a connection stays silent after its VM was rebooted.
+const maxSilence = time.Minute
+
 // Config holds the latency of each call and function fields that describe the tasks.
 type Config struct {
 	Latency time.Duration
@@ -304,7 +307,10 @@
 		now := time.Now()
 		if flt.vms[tgt.VM] != vmo { // it has been rebooted during the wait, so the connection is silent
 			flt.mu.Unlock()
-			<-ctx.Done()
+			select {
+			case <-ctx.Done():
+			case <-time.After(maxSilence): // for calls without a deadline
+			}
 			return agent.Report{}, agent.Unknown, ErrNoAnswer
 		}
 		vmo.advance(now, flt)
