Show states read from the log in the job's queue only

Cause: owners answer for a job in its own queue only, but the records that an entry reads when none answers are keyed by pool and job, and it did not look at the queue that they name. Now it does, by the same rule as owners.

TestStoredStateIsShownInItsQueueOnly fails before: "found true (<nil>), want false".

--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -81,6 +81,7 @@
 	ownerAddresses map[string]string
 	lookedUpAt     map[string]time.Time  // by pool: when the owner was last looked up
 	isLogReachable bool                  // the last lookup succeeded
+	table          *queue.Table          // in force; nil before the first
 	assignments    map[string]assignment // by address of the queue
 }
 
@@ -112,7 +113,7 @@
 		}
 		next[que.Address()] = asg
 	}
-	gtw.assignments = next
+	gtw.table, gtw.assignments = tab, next
 }
 
 // request holds the parameters of all methods.
@@ -244,6 +245,22 @@
 	return 0, false, nil
 }
 
+// isOfQueue returns a function that reports whether a job that was submitted to a queue is to be
+// shown in the present one: it is the same, or the configuration has it no longer, as it may have
+// a new name.
+func (gtw *Gateway) isOfQueue(present queue.Ref) func(ref queue.Ref) bool {
+	gtw.mu.Lock()
+	tab := gtw.table
+	gtw.mu.Unlock()
+	return func(ref queue.Ref) bool {
+		if present.IsSame(ref) || tab == nil {
+			return true
+		}
+		_, isConfigured := tab.ByName(ref.Name)
+		return !isConfigured
+	}
+}
+
 // stateIn returns the state of a job in one pool.
 func (gtw *Gateway) stateIn(ctx context.Context, req request) (ste jobrecord.State, found bool, err error) {
 	rep, err := gtw.call(ctx, methodState, req, func(own *owner.Owner) (reply, error) { return stateOf(own, req) })
@@ -256,7 +273,7 @@
 	part := group.PartitionOf(req.Pool, gtw.cfg.Partitions)
 	ctx, cancel := gtw.limitIfCutOff(ctx)
 	defer cancel()
-	ste, found, lookupErr := owner.StoredState(ctx, gtw.cfg.StateLog, req.Pool, part, req.ID)
+	ste, found, lookupErr := owner.StoredState(ctx, gtw.cfg.StateLog, req.Pool, part, req.ID, gtw.isOfQueue(req.queue()))
 	if lookupErr != nil {
 		return 0, false, fault.Wrap(lookupErr, code.LogUnavailable, "state of job %s", req.ID)
 	}
@@ -298,7 +315,7 @@
 		return rep.IsFound, err
 	}
 	part := group.PartitionOf(req.Pool, gtw.cfg.Partitions)
-	_, found, err = owner.StoredState(ctx, gtw.cfg.StateLog, req.Pool, part, req.ID)
+	_, found, err = owner.StoredState(ctx, gtw.cfg.StateLog, req.Pool, part, req.ID, gtw.isOfQueue(req.queue()))
 	if err != nil {
 		return false, fault.Wrap(err, code.LogUnavailable, "state of job %s", req.ID)
 	}
--- a/internal/schedule/gateway/gateway_test.go
+++ b/internal/schedule/gateway/gateway_test.go
@@ -161,3 +161,54 @@
 		t.Errorf("an entry of an earlier version gets %+v (%v)", got, err)
 	}
 }
+
+// While the owner of a pool was gone, the log showed the state of a job to callers of another queue of
+// the pool, and a cancellation there was answered as if the job were theirs.
+func TestStoredStateIsShownInItsQueueOnly(t *testing.T) {
+	log := logstore.New(logstore.Config{}).Client()
+	own := queue.Queue{Name: "own", Host: "h", Prefix: "/own/", Pool: "gate"}
+	other := queue.Queue{Name: "other", Host: "h", Prefix: "/other/", Pool: "gate"}
+	renamed := own
+	renamed.Name = "renamed"
+	put := func(key string, value []byte, err error) {
+		t.Helper()
+		if err == nil {
+			_, err = log.Append(t.Context(), statelog.AppendRequest{Topic: "jobs", ExpectedEnd: statelog.AnyOffset, Records: []statelog.Record{{Key: "gate/" + key, Value: value}}})
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	const waiting, running, ended, apart = "00000000000000b1", "00000000000000b2", "00000000000000b3", "00000000000000b4"
+	for _, id := range []string{waiting, running, apart} {
+		data, err := jobrecord.EncodeJob(jobrecord.Job{Plan: &plan.Plan{ID: id, Steps: []plan.Step{{Count: 1}}}, Queue: own.Name, Address: own.Address()})
+		key := "j/" + id
+		if id == apart {
+			key = "n/" + id
+		}
+		put(key, data, err)
+	}
+	for id, ste := range map[string]jobrecord.State{running: jobrecord.Running, apart: jobrecord.Running, ended: jobrecord.Completed} {
+		data, err := jobrecord.EncodeProgress(jobrecord.Progress{State: ste, Queue: own.Name, Address: own.Address()})
+		put("p/"+id, data, err)
+	}
+	for _, tst := range []struct {
+		asked  queue.Queue
+		queues []queue.Queue
+		want   bool
+	}{
+		{own, []queue.Queue{own, other}, true},
+		{other, []queue.Queue{own, other}, false},
+		{renamed, []queue.Queue{renamed, other}, true},
+		{renamed, []queue.Queue{renamed, {Name: own.Name, Host: "h", Prefix: "/third/", Pool: "gate"}}, true},
+		{other, []queue.Queue{other}, true}, // as before, since the queue may have moved to another address
+	} {
+		gtw := newGateway(t, log, func() bool { return false }) // no owner can be found
+		gtw.SetTable(time.Now(), queue.NewTable(1, tst.queues, []queue.Pool{{Name: "gate"}}))
+		for _, id := range []string{waiting, running, ended, apart} {
+			if _, found, err := gtw.State(t.Context(), tst.asked, id); found != tst.want || err != nil {
+				t.Errorf("job %s in the queue %s of %d: found %v (%v), want %v", id, tst.asked.Name, len(tst.queues), found, err, tst.want)
+			}
+		}
+	}
+}
--- a/internal/schedule/owner/owner_test.go
+++ b/internal/schedule/owner/owner_test.go
@@ -667,7 +667,7 @@
 			}
 			return rec, ok, err
 		}
-		ste, ok, err := owner.StoredState(t.Context(), log, pool, 0, pln.ID)
+		ste, ok, err := owner.StoredState(t.Context(), log, pool, 0, pln.ID, nil)
 		if !ok || err != nil || ste != jobrecord.Cancelled {
 			t.Errorf("state %s, found %t (%v), want cancelled", ste, ok, err)
 		}
@@ -682,11 +682,11 @@
 			t.Fatal(err)
 		}
 		own.Close()
-		ste, ok, err := owner.StoredState(t.Context(), fxt.store.Client(), pool, 0, job(1, 1).ID)
+		ste, ok, err := owner.StoredState(t.Context(), fxt.store.Client(), pool, 0, job(1, 1).ID, nil)
 		if err != nil || !ok || ste.IsEnded() {
 			t.Errorf("stored job: %v %v %v", ste, ok, err)
 		}
-		if _, ok, err := owner.StoredState(t.Context(), fxt.store.Client(), pool, 0, job(2, 1).ID); ok || err != nil {
+		if _, ok, err := owner.StoredState(t.Context(), fxt.store.Client(), pool, 0, job(2, 1).ID, nil); ok || err != nil {
 			t.Errorf("unknown job: %v %v", ok, err)
 		}
 	})
--- a/test/answers/answers_test.go
+++ b/test/answers/answers_test.go
@@ -354,7 +354,7 @@
 				continue
 			}
 			if isLookedUp {
-				ste, ok, err = owner.StoredState(context.Background(), hld.entry.log(), pool, 0, jfs.plan.ID)
+				ste, ok, err = owner.StoredState(context.Background(), hld.entry.log(), pool, 0, jfs.plan.ID, nil)
 			}
 			if err == nil {
 				sok.checkState(hld, jfs, ste, ok)
