Start tasks only by the kind of the incarnation that reports

Cause: a report shows a new incarnation but not its labels and capacity, which only the list of VMs has.

Now a VM gets tasks only while its labels and capacity are known to be those of the incarnation that reports. TestVMWithNewIncarnationGetsNoTasksBeforeItsRecordIsStored therefore lists the incarnation before it expects a start; that none comes before the record is stored is checked as before.

TestRestartedVMGetsNoTasksBeforeItsKindIsKnown fails before: "4 starts on a VM of an unknown kind".

--- a/internal/schedule/poolscheduler/place.go
+++ b/internal/schedule/poolscheduler/place.go
@@ -203,10 +203,14 @@
 // isUsable reports whether the VM may take tasks, apart from its backoff and the age of
 // its last report.
 func (vst *vmState) isUsable(now time.Time) bool {
-	return vst.hasReported && vst.isStored && vst.isPresent(now) && !vst.isUnresponsive && !vst.isLate && !vst.isEvacuating &&
+	return vst.hasReported && vst.isKindKnown() && vst.isStored && vst.isPresent(now) && !vst.isUnresponsive && !vst.isLate && !vst.isEvacuating &&
 		!vst.host.IsDraining && len(vst.unwantedRuns) == 0
 }
 
+// isKindKnown reports whether the labels and the capacity are those of the VM's incarnation. A
+// restart may change them, and a report does not tell them.
+func (vst *vmState) isKindKnown() bool { return vst.kindOf == 0 || vst.kindOf == vst.incarnation }
+
 // meetsConstraints reports whether the step's label and limit of tasks per VM allow one
 // more of its tasks on the VM.
 func (vst *vmState) meetsConstraints(sst *stepState) bool {
--- a/internal/schedule/poolscheduler/poolscheduler_test.go
+++ b/internal/schedule/poolscheduler/poolscheduler_test.go
@@ -341,6 +341,7 @@
 			t.Errorf("%s: records %v, want one with incarnation 2", name, bat.AddedVMs)
 		}
 		sch.CommitBatch(bat)
+		sch.SetListedVMs(start, []host.Host{vm("a", 2)}) // shows its capacity
 		if got := len(starts(sch.Plan(start))); got != 1 {
 			t.Errorf("%s: %d starts after the record is stored", name, got)
 		}
--- a/internal/schedule/poolscheduler/restart_test.go
+++ b/internal/schedule/poolscheduler/restart_test.go
@@ -103,9 +103,35 @@
 	addVMs(start, sch, vm("a", 5))
 	now := start.Add(time.Second)
 	sch.HandleReport(now, now, "a", agent.Report{Incarnation: 3})
+	sch.SetListedVMs(now, []host.Host{vm("a", 3)})
 	sch.CommitBatch(sch.TakeBatch())
 	accept(now, sch, step(1, 1000))
 	if got := len(starts(sch.Plan(now))); got != 1 || events["vmReborn"] != 1 {
 		t.Errorf("%d starts after %d restarts, want 1 after 1", got, events["vmReborn"])
 	}
 }
+
+// A VM restarted under its id as a smaller kind. Until the list of VMs was read again, its owner
+// started tasks by the capacity and the labels of the old incarnation.
+func TestRestartedVMGetsNoTasksBeforeItsKindIsKnown(t *testing.T) {
+	sch, _ := newScheduler(true)
+	large := vm("a", 1)
+	large.Labels = []string{"large"}
+	addVMs(start, sch, large)
+	now := start.Add(time.Second)
+	sch.HandleReport(now, now, "a", agent.Report{Incarnation: 2})
+	sch.CommitBatch(sch.TakeBatch())
+	accept(now, sch, step(8, 1000))
+	sch.SetListedVMs(now, []host.Host{large}) // the list lags behind
+	sch.CommitBatch(sch.TakeBatch())
+	if got := len(starts(sch.Plan(now))); got != 0 {
+		t.Errorf("%d starts on a VM of an unknown kind", got)
+	}
+	small := vm("a", 2)
+	small.Capacity.MilliCores = 2000
+	sch.SetListedVMs(now, []host.Host{small})
+	sch.CommitBatch(sch.TakeBatch())
+	if got := len(starts(sch.Plan(now))); got != 2 {
+		t.Errorf("%d starts of 1 core on a VM of 2, want 2", got)
+	}
+}
--- a/internal/schedule/poolscheduler/state.go
+++ b/internal/schedule/poolscheduler/state.go
@@ -113,6 +113,7 @@
 	isMaintenanceDue    bool          // a maintenance wave will reach it
 	isDelayLogged       bool          // the reason for its slow evacuation has been logged
 	incarnation         int64         // start time in Unix ms; 0 while unknown
+	kindOf              int64         // incarnation whose labels and capacity are known; 0 if announced without one
 	disproved           int64         // incarnation that the list shows though it does not exist
 	restartedAt         time.Time     // when this owner learned of it after another one; zero for the first
 	clock               time.Duration // time on the VM's clock at clockAt
@@ -149,7 +150,7 @@
 
 func newVMState(hst host.Host) *vmState {
 	return &vmState{
-		host: hst, tasks: map[task.ID]*taskState{}, tasksPerStep: map[*stepState]int{}, unwantedRuns: map[runKey]*pendingStop{},
+		host: hst, kindOf: hst.Incarnation, tasks: map[task.ID]*taskState{}, tasksPerStep: map[*stepState]int{}, unwantedRuns: map[runKey]*pendingStop{},
 	}
 }
 
--- a/internal/schedule/poolscheduler/vm.go
+++ b/internal/schedule/poolscheduler/vm.go
@@ -48,6 +48,7 @@
 	if hst.Incarnation == vst.disproved {
 		hst.Incarnation = vst.host.Incarnation
 	}
+	vst.kindOf = hst.Incarnation
 	needsRecord := vst.host.Address != hst.Address || hst.Incarnation > vst.host.Incarnation
 	hst.Incarnation = max(hst.Incarnation, vst.host.Incarnation) // the list may lag behind a report
 	vst.host, vst.isListed = hst, true
