--- a/internal/schedule/poolscheduler/place.go
+++ b/internal/schedule/poolscheduler/place.go
@@ -115,7 +115,7 @@
 	}
 	for i := range sst.tasks {
 		tst := &sst.tasks[i]
-		if tst.phase != waiting || tst.unwantedRunCount > 0 {
+		if tst.phase != waiting || tst.unwantedRunCount > 0 || now.Before(tst.pausedUntil) {
 			continue
 		}
 		vst := sch.chooseVM(sst, tst)
@@ -135,7 +135,7 @@
 	}
 	run := sch.cfg.RunNumberBase
 	for i := range sst.tasks {
-		if sst.tasks[i].unwantedRunCount > 0 {
+		if sst.tasks[i].unwantedRunCount > 0 || now.Before(sst.tasks[i].pausedUntil) {
 			return orders
 		}
 		run = max(run, sst.tasks[i].run)
@@ -254,7 +254,7 @@
 		if tst.phase == starting {
 			tst.phase = running
 		}
-		tst.isStartUnknown = false
+		tst.isStartUnknown, tst.refusals = false, 0
 		return
 	case agent.Unknown:
 		tst.isStartUnknown = true
@@ -266,11 +266,30 @@
 	case agent.WrongIncarnation:
 		vst.hasReported = false
 	}
+	tst.refusals++
+	tst.pausedUntil = now.Add(refusalPause(tst.refusals))
 	sch.cfg.Event(now, "startRefused", slog.String("task", tst.id.String()), slog.String("vm", vst.host.ID),
 		slog.Int("run", ord.Run), slog.Int("outcome", int(out)))
 	sch.requeueTask(tst)
 }
 
+const (
+	minRefusalPause = 20 * time.Millisecond
+	// maxRefusalPause keeps a task that is always refused within the run numbers of its term
+	// for half an hour.
+	maxRefusalPause = 2 * time.Second
+)
+
+// refusalPause returns how long a task waits after its start order was refused so many times in a
+// row. Each order takes a run number, of which a term has 1,000. After the first refusal another
+// VM may take the task at once.
+func refusalPause(refusals int) time.Duration {
+	if refusals <= 1 {
+		return 0
+	}
+	return min(maxRefusalPause, minRefusalPause<<min(refusals-2, 10))
+}
+
 // HandleStopOutcome handles the outcome of a stop order.
 func (sch *Scheduler) HandleStopOutcome(now time.Time, ord Order, out agent.Outcome) {
 	vst := sch.vms[ord.Target.VM]
--- a/internal/schedule/poolscheduler/state.go
+++ b/internal/schedule/poolscheduler/state.go
@@ -39,6 +39,8 @@
 	isBootUnknown    bool      // the VM has restarted, and which incarnation took the start order is not known
 	stopSentAt       time.Time
 	stopAckedAt      time.Time
+	refusals         int       // start orders refused since a run began
+	pausedUntil      time.Time // no start order is sent before
 	failedRuns       []int     // numbers of the runs that count as failed attempts
 	unwantedRunCount int       // number of unwanted runs of the task that may still be running
 	avoidVM          string    // VM of the last failure
