Number the reports of waves, so that late ones take no effect

Now reports name their producer, the term and a number. The log takes each once, in their order, and none of an earlier term; one without an answer is repeated before the next.

TestReplacedControllerReportsNoWave also counts an attempt of the replaced controller as a failure, since the stand-in would refuse it now.

--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -67,12 +67,24 @@
 	OrderThrottled // not done, as there were too many orders at once
 )
 
+// WaveReport tells the operator whether a wave is completed. A report takes effect once, and
+// not after one with a later Term or, of the same term, with a higher Seq.
+type WaveReport struct {
+	Number      int64
+	IsCompleted bool
+	Term        int64 // fencing token of the fleet controller
+	Seq         int64 // numbers the reports of a term from 1 without gaps
+}
+
 // Client accesses the directory. Its fields are functions that tests replace.
 type Client struct {
 	Hosts           func(ctx context.Context, cursor int64) (HostPage, error)
 	OperatorRecords func(ctx context.Context, cursor int64, wait time.Duration) (OperatorPage, error)
-	// ReportWave reports to the operator whether a wave is completed.
-	ReportWave func(ctx context.Context, number int64, isCompleted bool) error
+	// ReportWave reports to the operator whether a wave is completed. It fails with an error
+	// that is statelog.ErrFenced after a report of a later term, and with one that is
+	// statelog.ErrNotAppended if the report was not carried out and its Seq was not used. After
+	// any other error it may be carried out, now or later.
+	ReportWave func(ctx context.Context, rpt WaveReport) error
 	// Machines lists the machines of all pools.
 	Machines func(ctx context.Context) ([]Machine, error)
 	// Maintain takes a machine down for its maintenance in the wave.
--- a/internal/schedule/fleetcontroller/fleetcontroller.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller.go
@@ -92,6 +92,9 @@
 	poolsLoggedAt time.Time
 	takeoverAt    time.Time
 	seq           int64
+	reportSeq     int64 // of the last report on a wave
+	// unansweredReport is the last report on a wave if its outcome is unknown.
+	unansweredReport *directory.WaveReport
 	// unconfirmed are the records of an append whose outcome is unknown.
 	unconfirmed []statelog.Record
 	// recentOrders has the time of the last order for each recently ordered machine.
--- a/internal/schedule/fleetcontroller/fleetcontroller_test.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller_test.go
@@ -9,6 +9,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"daisywheel/internal/event/journal"
 	"daisywheel/internal/fleet/balance"
 	"daisywheel/internal/fleet/directory"
@@ -54,6 +56,8 @@
 	isHidden func(machine string) bool
 	lists    int // number of lists read
 	reports  []waveReport
+	// lastReport is the newest one; the platform refuses those of earlier terms and takes each once.
+	lastReport directory.WaveReport
 }
 
 // waveReport is one report on a wave that the operator received.
@@ -130,10 +134,20 @@
 			}
 			return out, nil
 		},
-		ReportWave: func(_ context.Context, number int64, isCompleted bool) error {
+		ReportWave: func(_ context.Context, rpt directory.WaveReport) error {
 			plt.mu.Lock()
 			defer plt.mu.Unlock()
-			plt.reports = append(plt.reports, waveReport{time.Now(), number, isCompleted})
+			last := plt.lastReport
+			switch {
+			case rpt.Term < last.Term:
+				return statelog.ErrFenced
+			case rpt.Term == last.Term && rpt.Seq <= last.Seq:
+				return nil // a repetition
+			case rpt.Term == last.Term && rpt.Seq > last.Seq+1:
+				return errors.Newf("stand-in: report %d does not follow %d", rpt.Seq, last.Seq)
+			}
+			plt.lastReport = rpt
+			plt.reports = append(plt.reports, waveReport{time.Now(), rpt.Number, rpt.IsCompleted})
 			return nil
 		},
 	}
--- a/internal/schedule/fleetcontroller/wave_test.go
+++ b/internal/schedule/fleetcontroller/wave_test.go
@@ -10,6 +10,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"daisywheel/internal/event/journal"
 	"daisywheel/internal/fleet/directory"
 	"daisywheel/internal/fleet/maintenance"
@@ -108,12 +110,14 @@
 		dir := plt.directory()
 		var isCut atomic.Bool
 		isCut.Store(true)
+		var hasTried atomic.Bool // the platform would refuse it
 		report := dir.ReportWave
-		dir.ReportWave = func(ctx context.Context, number int64, isCompleted bool) error {
+		dir.ReportWave = func(ctx context.Context, rpt directory.WaveReport) error {
 			if isCut.Load() {
 				return statelog.ErrNotAppended
 			}
-			return report(ctx, number, isCompleted)
+			hasTried.Store(hasTried.Load() || rpt.IsCompleted)
+			return report(ctx, rpt)
 		}
 		first := openControllerWithConfig(t, log, fleetcontroller.Config{Holder: "first", OrderRate: orderRate, Directory: dir, Journal: journal.New(journal.Config{})})
 		first.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: []string{"gate-0"}, Cap: 1, Within: time.Minute})
@@ -126,7 +130,7 @@
 		plt.runFor(second, 0, 10*time.Second)
 		first.Close()
 		second.Close()
-		if !early.IsZero() {
+		if !early.IsZero() || hasTried.Load() {
 			t.Error("the replaced controller reported the wave as completed")
 		}
 		if plt.completedAt().IsZero() {
@@ -375,13 +379,13 @@
 		log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
 		dir := plt.directory()
 		report, calls := dir.ReportWave, atomic.Int32{}
-		dir.ReportWave = func(ctx context.Context, number int64, isCompleted bool) error {
+		dir.ReportWave = func(ctx context.Context, rpt directory.WaveReport) error {
 			if calls.Add(1) > 1 {
-				return report(ctx, number, isCompleted)
+				return report(ctx, rpt)
 			}
 			go func() {
 				time.Sleep(6 * time.Second)
-				_ = report(context.Background(), number, isCompleted)
+				_ = report(context.Background(), rpt)
 			}()
 			<-ctx.Done()
 			return ctx.Err()
@@ -395,3 +399,42 @@
 		}
 	})
 }
+
+// A report of a former fleet controller that the log carries out late must not take effect after one
+// of its successor, and a report that was refused must not leave a gap before the next.
+func TestReportsOfWavesFollowEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
+		dir := plt.directory()
+		report, calls := dir.ReportWave, atomic.Int32{}
+		var late directory.WaveReport
+		dir.ReportWave = func(ctx context.Context, rpt directory.WaveReport) error {
+			switch calls.Add(1) {
+			case 1:
+				return statelog.ErrNotAppended
+			case 2:
+				late = rpt
+				<-ctx.Done()
+				return ctx.Err()
+			case 3:
+				return statelog.ErrNotAppended // says nothing of the one before
+			}
+			return report(ctx, rpt)
+		}
+		ctl := openControllerWithConfig(t, log, fleetcontroller.Config{Holder: "first", OrderRate: orderRate, Directory: dir, Journal: journal.New(journal.Config{})})
+		req := maintenance.Wave{Number: 1, Machines: []string{"gate-0"}, Cap: 1, Within: time.Minute}
+		ctl.RequestWave(time.Now(), req)
+		plt.runFor(ctl, 0, 20*time.Second)
+		if len(plt.reports) != 2 || plt.reports[0].isCompleted || !plt.reports[1].isCompleted {
+			t.Errorf("reports %v, want in progress and completed", plt.reports)
+		}
+		ctl.Close()
+		next := openController(t, log, plt, "next")
+		next.RequestWave(time.Now(), req)
+		plt.runFor(next, 0, 10*time.Second)
+		next.Close()
+		if err := report(t.Context(), late); !errors.Is(err, statelog.ErrFenced) || !plt.reports[len(plt.reports)-1].isCompleted {
+			t.Errorf("a late report of the former controller: %v, reports %v", err, plt.reports)
+		}
+	})
+}
--- a/internal/schedule/fleetcontroller/wavereport.go
+++ b/internal/schedule/fleetcontroller/wavereport.go
@@ -8,14 +8,21 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"daisywheel/internal/fleet/directory"
 	"daisywheel/internal/kernel/boottime"
+	"daisywheel/internal/schedule/statelog"
 )
 
 // reportWaves reports the state of the waves to the operator when it has changed. A controller
 // that was replaced may know an old request or list, so the term is proved before.
 func (ctl *Controller) reportWaves(now time.Time) {
 	provenAt, due := boottime.Now(), ctl.wavesToReport(now)
-	if len(due) == 0 || !ctl.provesTerm(now) {
+	if len(due) == 0 && ctl.unansweredReport == nil || !ctl.provesTerm(now) {
+		return
+	}
+	if ctl.unansweredReport != nil && !ctl.sendReport(now, *ctl.unansweredReport) {
 		return
 	}
 	for _, number := range due {
@@ -23,12 +30,8 @@
 		if !isDue || boottime.Now()-provenAt > maxProofAge {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-		err := ctl.cfg.Directory.ReportWave(ctx, number, rpt.state == completed)
-		cancel()
-		if err != nil {
-			ctl.cfg.Journal.Warn(now, "waveUnreported", slog.Int64("wave", number), slog.String("error", err.Error()))
-			continue
+		if !ctl.sendReport(now, ctl.nextReport(number, rpt.state == completed)) {
+			return
 		}
 		ctl.mu.Lock()
 		rpt.wave.reported = rpt.state
@@ -37,6 +40,35 @@
 	}
 }
 
+// nextReport returns the next report of the term.
+func (ctl *Controller) nextReport(number int64, isCompleted bool) directory.WaveReport {
+	ctl.reportSeq++
+	return directory.WaveReport{Number: number, IsCompleted: isCompleted, Term: ctl.clm.FencingToken(), Seq: ctl.reportSeq}
+}
+
+// sendReport sends a report and returns whether it was carried out. One without an answer is sent
+// again before any other, though its wave may have another state by now: the log takes reports
+// in their order, and a late one then counts as a repetition.
+func (ctl *Controller) sendReport(now time.Time, rpt directory.WaveReport) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	err := ctl.cfg.Directory.ReportWave(ctx, rpt)
+	cancel()
+	isRepeated := ctl.unansweredReport != nil
+	switch {
+	case err == nil:
+		ctl.unansweredReport = nil
+		return true
+	case errors.Is(err, statelog.ErrFenced):
+		ctl.setLost(now, "a later fleet controller has reported waves")
+	case errors.Is(err, statelog.ErrNotAppended) && !isRepeated:
+		ctl.reportSeq--
+	default:
+		ctl.unansweredReport = &rpt
+	}
+	ctl.cfg.Journal.Warn(now, "waveUnreported", slog.Int64("wave", rpt.Number), slog.Int64("seq", rpt.Seq), slog.String("error", err.Error()))
+	return false
+}
+
 type waveReport struct {
 	wave  *wave
 	state waveState
--- a/internal/schedule/service/service_test.go
+++ b/internal/schedule/service/service_test.go
@@ -227,7 +227,7 @@
 				}
 			}
 		},
-		ReportWave: func(context.Context, int64, bool) error { return nil },
+		ReportWave: func(context.Context, directory.WaveReport) error { return nil },
 		Machines:   func(context.Context) ([]directory.Machine, error) { return nil, nil },
 	}
 }
