Request waves after the first round in two tests

The request now follows the first round by 100 ms, and the age that is checked is the 200 ms that follow from it.

--- a/internal/schedule/fleetcontroller/wave_test.go
+++ b/internal/schedule/fleetcontroller/wave_test.go
@@ -188,12 +188,13 @@
 		for i := range 9 {
 			wav.Machines = append(wav.Machines, fmt.Sprintf("gone-%d", i))
 		}
+		time.Sleep(100 * time.Millisecond) // the first round is over, which lists the machines
 		ctl.RequestWave(time.Now(), wav)
 		plt.runFor(ctl, 0, 8*time.Second)
 		ctl.Close()
 		jnl.Close()
 		for _, want := range []string{
-			`"completed":false,"machines":10,"done":0,"absent":9,"absentMachines":"gone-0 gone-1 gone-2 gone-3 gone-4","listAge":0,"fence":1`,
+			`"completed":false,"machines":10,"done":0,"absent":9,"absentMachines":"gone-0 gone-1 gone-2 gone-3 gone-4","listAge":200000000,"fence":1`,
 			`"completed":true,"machines":10,"done":1,"absent":9,"absentMachines":"gone-0 gone-1 gone-2 gone-3 gone-4","listAge":`,
 		} {
 			if !strings.Contains(out.String(), `"waveReported","process":"","zone":"","wave":7,`+want) {
@@ -423,6 +424,7 @@
 		}
 		ctl := openControllerWithConfig(t, log, fleetcontroller.Config{Holder: "first", OrderRate: orderRate, Directory: dir, Journal: journal.New(journal.Config{})})
 		req := maintenance.Wave{Number: 1, Machines: []string{"gate-0"}, Cap: 1, Within: time.Minute}
+		time.Sleep(100 * time.Millisecond) // the first round is over
 		ctl.RequestWave(time.Now(), req)
 		plt.runFor(ctl, 0, 20*time.Second)
 		if len(plt.reports) != 2 || plt.reports[0].isCompleted || !plt.reports[1].isCompleted {
