--- a/internal/schedule/poolscheduler/place.go
+++ b/internal/schedule/poolscheduler/place.go
@@ -209,7 +209,9 @@
 
 // isKindKnown reports whether the labels and the capacity are those of the VM's incarnation. A
 // restart may change them, and a report does not tell them.
-func (vst *vmState) isKindKnown() bool { return vst.kindOf == 0 || vst.kindOf == vst.incarnation }
+func (vst *vmState) isKindKnown() bool {
+	return vst.kindIncarnation == 0 || vst.kindIncarnation == vst.incarnation
+}
 
 // meetsConstraints reports whether the step's label and limit of tasks per VM allow one
 // more of its tasks on the VM.
@@ -223,7 +225,7 @@
 
 func (sch *Scheduler) startTask(now time.Time, vst *vmState, tst *taskState, run int) Order {
 	tst.run, tst.phase, tst.startSentAt, tst.startAnsweredAt, tst.isStartUnknown, tst.isAdopted = run, starting, now, time.Time{}, false, false
-	tst.incarnation, tst.isBootUnknown = 0, false
+	tst.incarnation, tst.isIncarnationUnknown = 0, false
 	tst.step.waitingCount--
 	tst.step.lastStartAt = now
 	vst.addTask(tst)
--- a/internal/schedule/poolscheduler/report.go
+++ b/internal/schedule/poolscheduler/report.go
@@ -209,7 +209,7 @@
 		tst.checkpoint = run.Checkpoint
 	}
 	tst.percentDone, tst.load = run.Percent, run.Load
-	tst.incarnation, tst.isBootUnknown = tst.vm.incarnation, false
+	tst.incarnation, tst.isIncarnationUnknown = tst.vm.incarnation, false
 }
 
 // adoptRun makes the run, which an earlier owner started, the current run of the task.
@@ -236,11 +236,11 @@
 			continue
 		}
 		switch {
-		case tst.phase == stopping && !tst.stopAckedAt.IsZero() && sent.After(tst.stopAckedAt) && tst.isBootUnknown:
+		case tst.phase == stopping && !tst.stopAckedAt.IsZero() && sent.After(tst.stopAckedAt) && tst.isIncarnationUnknown:
 			sch.markUnconfirmed(now, tst)
 		case tst.phase == stopping && !tst.stopAckedAt.IsZero() && sent.After(tst.stopAckedAt):
 			sch.requeueTask(tst)
-		case tst.phase == running && sent.After(tst.startAnsweredAt) && tst.isBootUnknown:
+		case tst.phase == running && sent.After(tst.startAnsweredAt) && tst.isIncarnationUnknown:
 			sch.cfg.Event(now, "runLost", slog.String("task", tid.String()), slog.String("vm", vst.host.ID), slog.Int("run", tst.run))
 			sch.markUnconfirmed(now, tst) // it was one of the incarnation that has ended
 		case tst.phase == starting && tst.isStartUnknown && sent.After(tst.startAnsweredAt):
--- a/internal/schedule/poolscheduler/state.go
+++ b/internal/schedule/poolscheduler/state.go
@@ -25,29 +25,29 @@
 
 // taskState is the state of one task and its current or last run.
 type taskState struct {
-	step             *stepState
-	id               task.ID
-	phase            phase
-	vm               *vmState // while starting, running or stopping
-	run              int      // number of the current or last run
-	checkpoint       string
-	startSentAt      time.Time
-	startAnsweredAt  time.Time // when the start order's call returned or a report showed the run; zero before
-	isAdopted        bool      // an earlier owner started the run
-	isStartUnknown   bool      // the start order got no answer, so the run may or may not begin
-	incarnation      int64     // of the VM that has reported the run; 0 before
-	isBootUnknown    bool      // the VM has restarted, and which incarnation took the start order is not known
-	stopSentAt       time.Time
-	stopAckedAt      time.Time
-	refusals         int       // start orders refused since a run began
-	pausedUntil      time.Time // no start order is sent before
-	failedRuns       []int     // numbers of the runs that count as failed attempts
-	unwantedRunCount int       // number of unwanted runs of the task that may still be running
-	avoidVM          string    // VM of the last failure
-	percentDone      int       // as reported; 100 for a long-running task at work
-	load             int       // as reported, see agent.Run
-	pace             int       // rate at which the VM lets it run, in percent of full speed
-	paceReportAt     time.Time // time of the report from which the pace was set
+	step                 *stepState
+	id                   task.ID
+	phase                phase
+	vm                   *vmState // while starting, running or stopping
+	run                  int      // number of the current or last run
+	checkpoint           string
+	startSentAt          time.Time
+	startAnsweredAt      time.Time // when the start order's call returned or a report showed the run; zero before
+	isAdopted            bool      // an earlier owner started the run
+	isStartUnknown       bool      // the start order got no answer, so the run may or may not begin
+	incarnation          int64     // of the VM that has reported the run; 0 before
+	isIncarnationUnknown bool      // the VM has restarted, and which incarnation took the start order is not known
+	stopSentAt           time.Time
+	stopAckedAt          time.Time
+	refusals             int       // start orders refused since a run began
+	pausedUntil          time.Time // no start order is sent before
+	failedRuns           []int     // numbers of the runs that count as failed attempts
+	unwantedRunCount     int       // number of unwanted runs of the task that may still be running
+	avoidVM              string    // VM of the last failure
+	percentDone          int       // as reported; 100 for a long-running task at work
+	load                 int       // as reported, see agent.Run
+	pace                 int       // rate at which the VM lets it run, in percent of full speed
+	paceReportAt         time.Time // time of the report from which the pace was set
 }
 
 // stepState is the state of one step in one occurrence of a job.
@@ -115,7 +115,7 @@
 	isMaintenanceDue    bool          // a maintenance wave will reach it
 	isDelayLogged       bool          // the reason for its slow evacuation has been logged
 	incarnation         int64         // start time in Unix ms; 0 while unknown
-	kindOf              int64         // incarnation whose labels and capacity are known; 0 if announced without one
+	kindIncarnation     int64         // incarnation whose labels and capacity are known; 0 if announced without one
 	disproved           int64         // incarnation that the list shows though it does not exist
 	restartedAt         time.Time     // when this owner learned of it after another one; zero for the first
 	clock               time.Duration // time on the VM's clock at clockAt
@@ -152,7 +152,7 @@
 
 func newVMState(hst host.Host) *vmState {
 	return &vmState{
-		host: hst, kindOf: hst.Incarnation, tasks: map[task.ID]*taskState{}, tasksPerStep: map[*stepState]int{}, unwantedRuns: map[runKey]*pendingStop{},
+		host: hst, kindIncarnation: hst.Incarnation, tasks: map[task.ID]*taskState{}, tasksPerStep: map[*stepState]int{}, unwantedRuns: map[runKey]*pendingStop{},
 	}
 }
 
--- a/internal/schedule/poolscheduler/vm.go
+++ b/internal/schedule/poolscheduler/vm.go
@@ -48,7 +48,7 @@
 	if hst.Incarnation == vst.disproved {
 		hst.Incarnation = vst.host.Incarnation
 	}
-	vst.kindOf = hst.Incarnation
+	vst.kindIncarnation = hst.Incarnation
 	needsRecord := vst.host.Address != hst.Address || hst.Incarnation > vst.host.Incarnation
 	hst.Incarnation = max(hst.Incarnation, vst.host.Incarnation) // the list may lag behind a report
 	vst.host, vst.isListed = hst, true
@@ -132,7 +132,7 @@
 			continue
 		}
 		undecided++
-		tst.isBootUnknown = true
+		tst.isIncarnationUnknown = true
 		if tst.isStartUnknown {
 			sch.stopTask(tst)
 		}
