Keep the tasks of a VM that answers when its leases have expired

Cause: an owner that is paused renews no leases. When it resumed, it took all tasks of a VM for lapsed, 19 ms after an answer of this VM, which had completed them but listed only the oldest of its ends. A new owner likewise took a VM for reconciled whose list was cut.

Leases count as expired only while the VM does not answer. One that answers lists what has lapsed.

TestTasksOfAnAnsweringVMAreKeptPastTheirLeases and TestInheritedTasksWaitForAnAnsweringVMPastTheLeases fail before: "1 starts, 2 VMs whose tasks have lapsed, before their ends are listed", "1 starts while ends are missing". After: they pass.

--- a/internal/schedule/poolscheduler/cutreport_test.go
+++ b/internal/schedule/poolscheduler/cutreport_test.go
@@ -79,3 +79,56 @@
 		t.Errorf("%d starts after a complete report, want 1", got)
 	}
 }
+
+// An owner was paused until the leases of a VM had expired. It started tasks again whose runs had
+// completed, as the VM had not listed these ends yet.
+func TestTasksOfAnAnsweringVMAreKeptPastTheirLeases(t *testing.T) {
+	sch, events := newScheduler(true)
+	addVMs(start, sch, vm("a", 1), vm("b", 1))
+	accept(start, sch, step(2, 4000))
+	var first, second poolscheduler.Order
+	for _, ord := range starts(sch.Plan(start)) {
+		sch.HandleStartOutcome(start, ord, agent.Done)
+		if ord.Target.VM == "a" {
+			first = ord
+		} else {
+			second = ord
+		}
+	}
+	done := agent.End{Number: 2, Task: second.Task, Run: second.Run, Reason: agent.EndedDone}
+	now := start.Add(30 * time.Second)
+	sch.ConfirmOwnership(now)
+	sch.HandleReport(now, now, "b", agent.Report{Incarnation: 1, IsCut: true})
+	sch.Tick(now)
+	if got := len(starts(sch.Plan(now))); events["vmLapsed"] != 0 || got != 0 {
+		t.Errorf("%d starts, %d VMs whose tasks have lapsed, before their ends are listed", got, events["vmLapsed"])
+	}
+	sch.HandleReport(now, now, "b", agent.Report{Incarnation: 1, Ended: []agent.End{done}})
+	sch.HandlePollFailure("a")
+	sch.Tick(now)
+	if got := starts(sch.Plan(now)); events["vmLapsed"] != 1 || len(got) != 1 || got[0].Task != first.Task {
+		t.Errorf("%v started and %d VMs lapsed after a VM did not answer, want the task of this VM", got, events["vmLapsed"])
+	}
+}
+
+// A new owner was paused until the leases of its predecessor had expired, and took a VM that had
+// listed some of its ends for reconciled.
+func TestInheritedTasksWaitForAnAnsweringVMPastTheLeases(t *testing.T) {
+	sch, _ := newScheduler(false)
+	sch.RestoreVM(start, vm("a", 1))
+	job := jobrecord.Job{Queue: "q", FirstAttempt: start, Plan: &plan.Plan{ID: jobID, Steps: []plan.Step{step(1, 1000)}}}
+	sch.RestoreJob(start, jobID, &job, jobrecord.Progress{})
+	sch.SetListedVMs(start, []host.Host{vm("a", 1)})
+	sch.CommitBatch(sch.TakeBatch())
+	sch.HandleReport(start, start, "a", agent.Report{Incarnation: 1, IsCut: true})
+	now := start.Add(time.Minute)
+	sch.Plan(now)
+	sch.HandleReport(now, now, "a", agent.Report{Incarnation: 1, IsCut: true})
+	if got := len(starts(sch.Plan(now))); got != 0 {
+		t.Errorf("%d starts while ends are missing", got)
+	}
+	sch.HandleReport(now, now, "a", agent.Report{Incarnation: 1})
+	if got := len(starts(sch.Plan(now))); got != 1 {
+		t.Errorf("%d starts after a complete report, want 1", got)
+	}
+}
--- a/internal/schedule/poolscheduler/report.go
+++ b/internal/schedule/poolscheduler/report.go
@@ -54,7 +54,8 @@
 		// Another owner may have renewed the leases, unless this owner's ownership was
 		// confirmed after they expired.
 		isLeaseExpired := now.After(vst.leaseEnd) && sch.confirmedAt.After(vst.leaseEnd)
-		if isLeaseExpired && len(vst.tasks)+len(vst.unwantedRuns) > 0 {
+		// The reports of a VM that answers show what has ended there, and how.
+		if isLeaseExpired && vst.isUnresponsive && len(vst.tasks)+len(vst.unwantedRuns) > 0 {
 			sch.cfg.Event(now, "vmLapsed", slog.String("vm", id), slog.Int("tasks", len(vst.tasks)),
 				slog.Duration("silent", now.Sub(vst.lastReportAt)))
 			for _, tst := range vst.tasks {
--- a/internal/schedule/poolscheduler/zone.go
+++ b/internal/schedule/poolscheduler/zone.go
@@ -105,10 +105,11 @@
 	}
 }
 
-// mayRunUnknownTasks reports whether tasks of an earlier owner may run on the VM that this
-// owner does not know of: the VM has not reported and their leases may not have expired.
+// mayRunUnknownTasks reports whether tasks of an earlier owner may run on the VM, or may have
+// ended there, that this owner does not know of: the VM has not listed all of them, and it
+// answers or their leases may not have expired.
 func (vst *vmState) mayRunUnknownTasks(now time.Time) bool {
-	return vst.isUnreconciled && now.Before(vst.leaseEnd)
+	return vst.isUnreconciled && (now.Before(vst.leaseEnd) || !vst.isUnresponsive)
 }
 
 // isReconciled reports whether it is known where all tasks of the job run.
