Draw scheduled jobs, clocks and zones in the test of answers

The VMs check that a run begins after the steps that it depends on and when its occurrence is due by some entry's clock.

Owners take their time of day from Config.Now.

--- a/internal/schedule/owner/append.go
+++ b/internal/schedule/owner/append.go
@@ -73,9 +73,9 @@
 			return
 		}
 		for {
-			bat, more := own.takeBatch(time.Now())
+			bat, more := own.takeBatch(own.cfg.Now())
 			if err := own.recordQueues(bat); err != nil {
-				own.trackLog(time.Now(), time.Now(), err)
+				own.trackLog(own.cfg.Now(), own.cfg.Now(), err)
 				own.rollBackBatch(bat)
 				sleep(own.quit, logRetryDelay)
 			} else if len(bat.records) > 0 {
@@ -234,13 +234,13 @@
 	isUnknown := false
 	for wait := appendTimeout; ; wait = min(2*wait, logTimeout) {
 		ctx, cancel := context.WithTimeout(context.Background(), wait)
-		sent := time.Now()
+		sent := own.cfg.Now()
 		_, err := own.cfg.StateLog.Append(ctx, statelog.AppendRequest{
 			Topic: jobsTopic, Partition: own.cfg.Partition, Records: bat.records, ExpectedEnd: statelog.AnyOffset,
 			Producer: own.cfg.Pool, Epoch: own.fencingToken, Seq: seq,
 		})
 		cancel()
-		now := time.Now()
+		now := own.cfg.Now()
 		own.appendTime.Update(now.Sub(sent).Seconds())
 		own.trackLog(now, sent, err)
 		switch {
@@ -288,7 +288,7 @@
 // completeBatch handles a batch that is stored: it resolves the submissions and
 // updates the pool scheduler, once all records of the changes are stored.
 func (own *Owner) completeBatch(bat batch) {
-	now := time.Now()
+	now := own.cfg.Now()
 	own.mu.Lock()
 	defer own.mu.Unlock()
 	for _, sub := range bat.subs {
--- a/internal/schedule/owner/count.go
+++ b/internal/schedule/owner/count.go
@@ -60,7 +60,7 @@
 	own.awaitConfirmation(ctx, now)
 	own.mu.Lock()
 	defer own.mu.Unlock()
-	now = time.Now() // the wait may have been long
+	now = own.cfg.Now() // the wait may have been long
 	age := own.confirmed.age(now, own.cfg.SinceBoot())
 	attrs := []slog.Attr{slog.String("queue", ref.Name), slog.Int64("fence", own.fencingToken), slog.Duration("confirmed", age)}
 	if own.isEnding() {
--- a/internal/schedule/owner/loops.go
+++ b/internal/schedule/owner/loops.go
@@ -51,7 +51,7 @@
 		if !sleep(own.quit, wait) {
 			return
 		}
-		now := time.Now()
+		now := own.cfg.Now()
 		own.mu.Lock()
 		orders := own.sch.Plan(now)
 		if own.sch.HasUrgentChanges() {
@@ -73,7 +73,7 @@
 func (own *Owner) sendOrder(ord poolscheduler.Order) {
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
-	sent := time.Now()
+	sent := own.cfg.Now()
 	var out agent.Outcome
 	var err error
 	switch ord.Kind {
@@ -84,7 +84,7 @@
 	case poolscheduler.PaceTask:
 		out, err = own.cfg.Agent.Pace(ctx, ord.Target, ord.Task, ord.Run, ord.Percent)
 	}
-	now := time.Now()
+	now := own.cfg.Now()
 	own.orderTime.Update(now.Sub(sent).Seconds())
 	if err != nil {
 		own.cfg.Journal.Warn(now, "orderFailed", slog.String("task", ord.Task.String()), slog.Int("run", ord.Run),
@@ -122,7 +122,7 @@
 			return
 		case <-tck.C:
 		}
-		now := time.Now()
+		now := own.cfg.Now()
 		own.mu.Lock()
 		own.sch.Tick(now)
 		if own.sch.HasChanges() {
@@ -136,15 +136,15 @@
 // claimLoop checks whether another owner has claimed the pool.
 func (own *Owner) claimLoop() {
 	for own.awaitClaimCheck() {
-		sent := time.Now()
+		sent := own.cfg.Now()
 		cnf := newConfirmation(sent, own.cfg.SinceBoot())
 		isNewest, err := claim.IsNewest(context.Background(), own.cfg.StateLog, own.cfg.Pool, own.fencingToken)
 		if err == nil && !isNewest {
-			own.loseOwnership(time.Now(), "a later owner has claimed the pool")
+			own.loseOwnership(own.cfg.Now(), "a later owner has claimed the pool")
 			return
 		}
 		own.mu.Lock()
-		own.endClaimCheck(time.Now(), cnf, err == nil)
+		own.endClaimCheck(own.cfg.Now(), cnf, err == nil)
 		if err == nil { // appendLoop and the group membership log an outage
 			own.sch.ConfirmOwnership(sent)
 			own.requestPlan()
@@ -189,7 +189,7 @@
 	last := agent.Target{}
 	defer func() { own.cfg.Agent.Drop(last.Address) }()
 	for !own.isEnding() {
-		now := time.Now()
+		now := own.cfg.Now()
 		own.mu.Lock()
 		tgt, req, ok := own.sch.NextPoll(now, id)
 		if !ok {
@@ -231,10 +231,10 @@
 // again.
 func (own *Owner) logPollChange(tgt agent.Target, err error) {
 	if err == nil {
-		own.event(time.Now(), "vmRegained", slog.String("vm", tgt.VM))
+		own.event(own.cfg.Now(), "vmRegained", slog.String("vm", tgt.VM))
 		return
 	}
-	own.cfg.Journal.Warn(time.Now(), "vmUnanswered", slog.String("vm", tgt.VM), slog.String("error", err.Error()))
+	own.cfg.Journal.Warn(own.cfg.Now(), "vmUnanswered", slog.String("vm", tgt.VM), slog.String("error", err.Error()))
 }
 
 // callPoll sends a poll that times out the slack after the VM should have answered.
@@ -250,12 +250,12 @@
 	rpt, out, err := own.callPoll(tgt, req, firstPollSlack)
 	if out == agent.Unknown && !own.isEnding() {
 		own.mu.Lock()
-		own.sch.HandleLatePoll(time.Now(), tgt.VM)
+		own.sch.HandleLatePoll(own.cfg.Now(), tgt.VM)
 		own.mu.Unlock()
-		sent, req.Wait = time.Now(), 0
+		sent, req.Wait = own.cfg.Now(), 0
 		rpt, out, err = own.callPoll(tgt, req, pollTimeoutSlack)
 	}
-	now := time.Now()
+	now := own.cfg.Now()
 	switch out {
 	case agent.Fenced:
 		own.loseOwnership(now, "a VM has seen a higher fencing token")
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -65,6 +65,8 @@
 	// SinceBoot is a clock that also counts the time for which the machine was suspended; nil
 	// stands for boottime.Now.
 	SinceBoot func() time.Duration
+	// Now is the time of day of the entry; nil stands for time.Now.
+	Now func() time.Time
 }
 
 // Owner is the owner of a pool for one term. It is safe for concurrent use.
@@ -112,6 +114,9 @@
 	if cfg.SinceBoot == nil {
 		cfg.SinceBoot = boottime.Now
 	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
 	cnf := newConfirmation(now, cfg.SinceBoot())
 	clm, err := claim.Acquire(ctx, cfg.StateLog, cfg.Pool, cfg.Address)
 	if err != nil {
@@ -303,7 +308,7 @@
 		own.resolve(sub, fault.New(code.NotReady, "the pool changes its owner"))
 	}
 	own.queued = nil
-	own.event(time.Now(), "ownerStopped", slog.Int64("fence", own.fencingToken))
+	own.event(own.cfg.Now(), "ownerStopped", slog.Int64("fence", own.fencingToken))
 }
 
 func (own *Owner) loseOwnership(now time.Time, reason string) {
--- a/test/answers/answers_test.go
+++ b/test/answers/answers_test.go
@@ -54,6 +54,7 @@
 	slots       = 5 // addresses of VMs
 	entryCount  = 3
 	breachLines = 60
+	maxOffset   = 5 * time.Second // of an entry's time of day
 )
 
 // soak is one run. The mutex mu guards all but the faults.
@@ -85,6 +86,7 @@
 	plan                        *plan.Plan
 	submitAt, againAt, cancelAt time.Duration // againAt and cancelAt are 0 for never
 	isHopeless                  bool          // all its runs fail
+	isShort                     bool          // its runs are short
 	inFlight                    int           // submissions without an answer yet
 	isStorable                  bool          // a submission was not refused
 	acceptedAt, begunAt         time.Time     // begunAt is the start of its first run on any VM
@@ -98,14 +100,8 @@
 // isAllDone reports whether all tasks have ended as done. One member stands for a gang.
 func (jfs *jobFacts) isAllDone() bool {
 	for occ := range jfs.plan.Occurrences() {
-		for i, stp := range jfs.plan.Steps {
-			count := 0
-			for idx := range stp.Count {
-				if jfs.done[task.ID{Job: jfs.plan.ID, Occurrence: occ, Step: i, Index: idx}] {
-					count++
-				}
-			}
-			if count < stp.Count && (!stp.IsGang || count == 0) {
+		for i := range jfs.plan.Steps {
+			if !jfs.isStepDone(occ, i) {
 				return false
 			}
 		}
@@ -113,6 +109,17 @@
 	return true
 }
 
+// isStepDone reports whether all tasks of a step have ended as done.
+func (jfs *jobFacts) isStepDone(occ, num int) bool {
+	stp, count := &jfs.plan.Steps[num], 0
+	for idx := range stp.Count {
+		if jfs.done[task.ID{Job: jfs.plan.ID, Occurrence: occ, Step: num, Index: idx}] {
+			count++
+		}
+	}
+	return count == stp.Count || stp.IsGang && count > 0
+}
+
 // isDue reports whether the job was accepted longer ago than the age and nobody has cancelled it.
 func (jfs *jobFacts) isDue(age time.Duration) bool {
 	return !jfs.isCancelSent && !jfs.acceptedAt.IsZero() && time.Since(jfs.acceptedAt) > age
@@ -131,10 +138,12 @@
 		t: t, seed: seed, begun: time.Now(), store: logstore.New(logstore.Config{Latency: 4 * time.Millisecond}),
 		listed: map[string]host.Host{}, byID: map[string]*jobFacts{}, runs: map[task.ID]int{}, broken: map[string]int{},
 	}
+	other := rand.New(rand.NewPCG(seed, 1))
+	zones := 1 + 2*other.IntN(2)
 	var hosts []host.Host
 	for i := range 2 * slots { // the second half replace others
 		hosts = append(hosts, host.Host{
-			ID: fmt.Sprintf("vm-%d", i), Pool: pool, Address: fmt.Sprintf("10.0.0.%d:80", i%slots), Incarnation: sok.begun.UnixMilli(),
+			ID: fmt.Sprintf("vm-%d", i), Pool: pool, Address: fmt.Sprintf("10.0.0.%d:80", i%slots), Incarnation: sok.begun.UnixMilli(), Zone: fmt.Sprint(i % slots % zones),
 			Capacity: plan.Demand{MilliCores: 4000, MemoryMB: 8000},
 		})
 	}
@@ -149,6 +158,14 @@
 	if rnd.IntN(3) == 0 {
 		sok.fleet.SetMaxEnds(2 + rnd.IntN(6)) // outages of the log leave VMs with more ends than they list
 	}
+	if other.IntN(2) == 0 {
+		sok.drawScheduledJobs(other)
+	}
+	if other.IntN(2) == 0 {
+		for _, ent := range sok.entries {
+			ent.offset = time.Duration(other.Int64N(int64(2*maxOffset))) - maxOffset
+		}
+	}
 	return sok
 }
 
@@ -193,6 +210,45 @@
 	}
 }
 
+// drawScheduledJobs draws jobs that run often, some of them with many tasks or late.
+func (sok *soak) drawScheduledJobs(rnd *rand.Rand) {
+	for range 3 + rnd.IntN(10) {
+		at := time.Second + time.Duration(rnd.Int64N(int64(faultTime/2)))
+		jfs := &jobFacts{submitAt: at, isShort: true, done: map[task.ID]bool{}, failures: map[task.ID]int{}}
+		jfs.plan = &plan.Plan{ID: fmt.Sprintf("%016x", rnd.Uint64()), Spec: "x", RepeatCount: 2 + rnd.IntN(100)}
+		jfs.plan.Interval = time.Duration(20+rnd.IntN(500)) * time.Millisecond
+		jfs.plan.FirstAt = sok.begun.Add(at + time.Duration(rnd.IntN(12000)-6000)*time.Millisecond)
+		for i := range 1 + rnd.IntN(3) {
+			stp := plan.Step{Count: 1 + rnd.IntN(3), Demand: plan.Demand{MilliCores: 20}, Estimate: time.Second}
+			if i > 0 && rnd.IntN(4) > 0 {
+				stp.After = []int{i - 1}
+			}
+			jfs.plan.Steps = append(jfs.plan.Steps, stp)
+		}
+		if rnd.IntN(12) == 0 { // more tasks than may be open
+			jfs.plan.RepeatCount, jfs.plan.FirstAt = 8+rnd.IntN(8), sok.begun
+			jfs.plan.Steps[0].Count, jfs.plan.Steps[0].Demand.MilliCores = 400+rnd.IntN(1200), 1
+			sok.fleet.SetMaxEnds(100 + rnd.IntN(400))
+		}
+		sok.jobs = append(sok.jobs, jfs)
+		sok.byID[jfs.plan.ID] = jfs
+	}
+}
+
+// checkBegin checks that the run of a task may begin: the steps that its step depends on are done,
+// and its occurrence is due by the clock of some entry. The caller holds the lock.
+func (sok *soak) checkBegin(tid task.ID, jfs *jobFacts) {
+	for _, dep := range jfs.plan.Steps[tid.Step].After {
+		if !jfs.isStepDone(tid.Occurrence, dep) {
+			sok.breach("a run begins before the steps that it depends on are done", nil, tid.String(), []string{tid.Job})
+		}
+	}
+	due := jfs.plan.FirstAt.Add(time.Duration(tid.Occurrence) * jfs.plan.Interval)
+	if jfs.plan.IsRepeating() && time.Now().Before(due.Add(-maxOffset)) {
+		sok.breach("a run begins before its occurrence is due", nil, tid.String(), []string{tid.Job})
+	}
+}
+
 // beginRun notes the start of a run on a VM and returns how long the run lasts.
 func (sok *soak) beginRun(tid task.ID) time.Duration {
 	sok.mu.Lock()
@@ -204,10 +260,14 @@
 		sok.note("a run of job %s begins", tid.Job)
 	}
 	sok.runs[tid]++
+	sok.checkBegin(tid, jfs)
 	share := sok.draw("length", tid, sok.runs[tid])
 	if jfs.plan.IsLongRunning() && share > 0.3 {
 		return time.Hour
 	}
+	if jfs.isShort {
+		return 20*time.Millisecond + time.Duration(share*float64(400*time.Millisecond))
+	}
 	return 200*time.Millisecond + time.Duration(share*float64(3*time.Second))
 }
 
@@ -315,7 +375,7 @@
 		sok.mu.Lock()
 		jfs.inFlight++
 		sok.mu.Unlock()
-		err := hld.owner.Submit(ctx, time.Now(), jfs.plan, queue.Ref{Name: queueName})
+		err := hld.owner.Submit(ctx, hld.entry.now(), jfs.plan, queue.Ref{Name: queueName})
 		sok.mu.Lock()
 		defer sok.mu.Unlock()
 		jfs.inFlight--
@@ -334,7 +394,7 @@
 		sok.mu.Lock()
 		jfs.isCancelSent = true
 		sok.mu.Unlock()
-		found, err := hld.owner.Cancel(ctx, time.Now(), queue.Ref{Name: queueName}, jfs.plan.ID)
+		found, err := hld.owner.Cancel(ctx, hld.entry.now(), queue.Ref{Name: queueName}, jfs.plan.ID)
 		return found && err == nil
 	})
 }
@@ -349,7 +409,7 @@
 		if hld.entry.isUnder("", paused) {
 			continue
 		}
-		if count, err := hld.owner.CountQueued(context.Background(), time.Now(), queue.Ref{Name: queueName}); err == nil {
+		if count, err := hld.owner.CountQueued(context.Background(), hld.entry.now(), queue.Ref{Name: queueName}); err == nil {
 			sok.checkCount(hld, count)
 		}
 		drawn := int(sok.draw("stored", sok.now()) * float64(len(sok.jobs)))
--- a/test/answers/faults_test.go
+++ b/test/answers/faults_test.go
@@ -103,10 +103,14 @@
 
 // entry is a process that may own the pool.
 type entry struct {
-	soak *soak
-	name string
+	soak   *soak
+	name   string
+	offset time.Duration // of its time of day
 }
 
+// now returns the entry's time of day.
+func (ent *entry) now() time.Time { return time.Now().Add(ent.offset) }
+
 func (ent *entry) String() string {
 	if ent == nil {
 		return "all"
@@ -328,9 +332,9 @@
 	defer cancel()
 	jnl := journal.New(journal.Config{Out: sok, Process: ent.name})
 	que := queue.Queue{Name: queueName, Pool: pool, MaxAttempts: maxAttempts, DeadlineFactor: 1.6, LatencyGoal: time.Second}
-	own, err := owner.Open(ctx, time.Now(), owner.Config{
+	own, err := owner.Open(ctx, ent.now(), owner.Config{
 		Pool: pool, Address: ent.name, MaxLease: maxLease, StatusRetention: retention, StateLog: ent.log(), Agent: ent.agent(),
-		Journal: jnl, Metrics: metrics.NewSet(), Table: queue.NewTable(1, []queue.Queue{que, {Name: otherQueue, Pool: pool}}, []queue.Pool{{Name: pool}}), RequestReport: func() {}, SinceBoot: sok.now,
+		Journal: jnl, Metrics: metrics.NewSet(), Table: queue.NewTable(1, []queue.Queue{que, {Name: otherQueue, Pool: pool}}, []queue.Pool{{Name: pool}}), RequestReport: func() {}, SinceBoot: sok.now, Now: ent.now,
 	})
 	if err != nil {
 		jnl.Close()
@@ -410,8 +414,8 @@
 	slices.SortFunc(hosts, func(one, two host.Host) int { return strings.Compare(one.ID, two.ID) })
 	for _, hld := range sok.holders {
 		if !hld.entry.isUnder("", paused, cutOff, logSilent, logDown) {
-			hld.owner.SetListedVMs(time.Now(), hosts)
-			hld.owner.SetEvacuating(time.Now(), evacuating)
+			hld.owner.SetListedVMs(hld.entry.now(), hosts)
+			hld.owner.SetEvacuating(hld.entry.now(), evacuating)
 		}
 	}
 }
