Remove the submission of a job whose end is stored

A job that had ended could run again, minutes later.

Cause: the end and the removal of the submission are two records, which may go into two appends. An owner that is replaced between them leaves both; its successor kept the end and forgot the submission. Once the end was dropped, the owner after that took the submission for a job of which nothing had run.

Evidence: the test, which opens two owners on the records that such an owner leaves.

The successor stores the end again, which removes the submission.

--- a/internal/schedule/owner/recordlimit_test.go
+++ b/internal/schedule/owner/recordlimit_test.go
@@ -222,3 +222,42 @@
 		}
 	})
 }
+
+// The end of a job was stored in one append and its submission removed in the next, which was not
+// carried out. The job ran again once its end had been dropped.
+func TestEndedJobWithASubmissionDoesNotRunAgain(t *testing.T) {
+	for _, prefix := range []string{"j/", "n/"} {
+		synctest.Test(t, func(t *testing.T) {
+			fxt := newFixture(t, 1, logstore.Config{})
+			pln := job(1, 1)
+			submission, err := jobrecord.EncodeJob(jobrecord.Job{Plan: pln, Queue: passes.Name})
+			if err != nil {
+				t.Fatal(err)
+			}
+			end, err := jobrecord.EncodeProgress(jobrecord.Progress{State: jobrecord.Completed, Queue: passes.Name, Ended: time.Now()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := fxt.store.Client().Append(t.Context(), statelog.AppendRequest{Topic: "jobs", ExpectedEnd: statelog.AnyOffset, Records: []statelog.Record{
+				{Key: pool + "/" + prefix + pln.ID, Value: submission}, {Key: pool + "/p/" + pln.ID, Value: end},
+			}}); err != nil {
+				t.Fatal(err)
+			}
+			own := fxt.open()
+			time.Sleep(3 * time.Minute) // longer than ends are stored
+			if err := fxt.submit(own, job(2, 1)); err != nil {
+				t.Fatal(err)
+			}
+			fxt.await(own, job(2, 1).ID, 5*time.Second)
+			own.Close()
+			fxt.open()
+			time.Sleep(5 * time.Second)
+			if got := fxt.fleet.Starts(); got != 2 {
+				t.Errorf("%d starts, want the 2 of the other job", got)
+			}
+			if got := fxt.keys(pln.ID); len(got) != 0 {
+				t.Errorf("records %v of a job that has ended long ago", got)
+			}
+		})
+	}
+}
--- a/internal/schedule/poolscheduler/record.go
+++ b/internal/schedule/poolscheduler/record.go
@@ -116,7 +116,7 @@
 }
 
 func newJobUpdate(jst *jobState) JobUpdate {
-	upd := JobUpdate{ID: jst.plan.ID, Progress: progressOf(jst), MayBeSetApart: jst.plan.IsRepeating()}
+	upd := JobUpdate{ID: jst.plan.ID, Progress: progressOf(jst), MayBeSetApart: jst.plan.IsRepeating() || jst.isSetApart}
 	if upd.Progress.IsCompact() && !jst.isSetApart {
 		upd.Submission = &jobrecord.Job{
 			Plan: jst.plan, Queue: jst.queue.Name, Address: jst.queue.Address, FirstAttempt: jst.waitingSince, Zone: jst.homeZone,
@@ -175,6 +175,12 @@
 		if prg.State.IsEnded() {
 			sch.endedJobs = append(sch.endedJobs, id)
 		}
+		if jb != nil {
+			// The earlier owner stored the end without removing the submission, from which a
+			// later one would run the job again once its end is no longer stored.
+			jst.isSetApart = true // possibly
+			sch.markDirty(jst)
+		}
 		return
 	}
 	jst := sch.newJobState(firstAttemptTime(now, *jb), *jb)
