Leave jobs and VMs whose records can't be read to other owners

A job whose progress could not be read ran again from its first task; a task could run on two VMs.

Cause: a new owner logged what it could not read and went on without it, so what it did not know counted as nothing: no progress, no job, no VM with tasks of an earlier owner.

The job is known and not run, its runs go on, and ends that count are not acknowledged, so that an owner that can read its records finds all as it was. A VM is known by its id, so tasks wait for its report or its leases.

--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -189,17 +189,20 @@
 	defer own.mu.Unlock()
 	jobs := map[string]*jobrecord.Job{}
 	progress := map[string]jobrecord.Progress{}
+	unreadable := 0
 	for _, rec := range recs {
 		rest, isOwn := strings.CutPrefix(rec.Key, own.cfg.Pool+"/")
 		if !isOwn || len(rec.Value) == 0 {
 			continue
 		}
-		if id, isVM := strings.CutPrefix(rest, vmPrefix); isVM {
+		kind, id, _ := strings.Cut(rest, "/")
+		if kind+"/" == vmPrefix {
 			err = own.restoreVM(now, id, rec.Value)
-		} else {
-			err = readRecord(rest, rec.Value, jobs, progress)
+		} else if err = readRecord(rest, rec.Value, jobs, progress); err != nil {
+			own.sch.RestoreUnreadableJob(id)
 		}
 		if err != nil {
+			unreadable++
 			own.cfg.Journal.Warn(now, "recordUnreadable", slog.String("key", rec.Key), slog.String("error", err.Error()))
 		}
 	}
@@ -208,22 +211,22 @@
 		delete(progress, id)
 	}
 	for id, prg := range progress {
-		if prg.State.IsEnded() {
-			own.sch.RestoreJob(now, id, nil, prg)
-		}
+		own.sch.RestoreJob(now, id, nil, prg)
 	}
-	own.event(now, "jobsRestored", slog.Int("open", len(jobs)), slog.Int("ended", len(progress)))
+	own.event(now, "jobsRestored", slog.Int("open", len(jobs)), slog.Int("ended", len(progress)), slog.Int("unreadable", unreadable))
 	return nil
 }
 
+// restoreVM restores a VM. Of one whose record can't be read only the id is known, until it is
+// listed.
 func (own *Owner) restoreVM(now time.Time, id string, value []byte) error {
 	hst, err := jobrecord.DecodeHost(id, own.cfg.Pool, value)
 	if err != nil {
-		return err
+		hst = host.Host{ID: id, Pool: own.cfg.Pool}
 	}
 	own.sch.RestoreVM(now, hst)
 	own.startPolling(id)
-	return nil
+	return err
 }
 
 // startPolling starts the poll loop of a VM unless it is running. The caller holds
--- a/internal/schedule/owner/requests.go
+++ b/internal/schedule/owner/requests.go
@@ -22,7 +22,7 @@
 		own.mu.Unlock()
 		return fault.New(code.KeyConflict, "another queue has a job %s", pln.ID)
 	}
-	if _, ok := own.sch.State(pln.ID); ok {
+	if _, ok := own.sch.State(pln.ID); ok || own.sch.IsUnreadable(pln.ID) {
 		own.mu.Unlock()
 		return nil
 	}
--- a/internal/schedule/poolscheduler/end.go
+++ b/internal/schedule/poolscheduler/end.go
@@ -11,6 +11,10 @@
 
 // handleRunEnd handles the end of a run that a VM reports.
 func (sch *Scheduler) handleRunEnd(now time.Time, vst *vmState, end agent.End) {
+	if sch.IsUnreadable(end.Task.Job) {
+		vst.holdEnd(end)
+		return
+	}
 	vst.dropUnwantedRun(runKey{end.Task, end.Run})
 	tst := sch.reportedTask(end.Task)
 	if tst == nil || tst.phase == done {
--- a/internal/schedule/poolscheduler/place.go
+++ b/internal/schedule/poolscheduler/place.go
@@ -204,7 +204,7 @@
 // its last report.
 func (vst *vmState) isUsable(now time.Time) bool {
 	return vst.hasReported && vst.isKindKnown() && vst.isStored && vst.isPresent(now) && !vst.isUnresponsive && !vst.isLate && !vst.isEvacuating &&
-		!vst.host.IsDraining && len(vst.unwantedRuns) == 0
+		!vst.host.IsDraining && len(vst.unwantedRuns) == 0 && !vst.hasUnreadableRuns()
 }
 
 // isKindKnown reports whether the labels and the capacity are those of the VM's incarnation. A
--- a/internal/schedule/poolscheduler/pool.go
+++ b/internal/schedule/poolscheduler/pool.go
@@ -43,7 +43,7 @@
 // stored yet and tasks of an earlier owner that may run count too, as they would be lost
 // with the VM.
 func (vst *vmState) occupancy(now time.Time) int {
-	count := len(vst.tasks) + len(vst.unwantedRuns)
+	count := len(vst.tasks) + len(vst.unwantedRuns) + vst.unreadableRuns
 	if vst.lastEndStored < vst.lastEndSeen {
 		count++
 	}
--- a/internal/schedule/poolscheduler/poolscheduler.go
+++ b/internal/schedule/poolscheduler/poolscheduler.go
@@ -77,6 +77,7 @@
 	// owner does not know of.
 	unreconciledZones map[string]bool
 	runtimeModels     map[string]*estimate.Model // by queue
+	unreadableJobs    map[string]bool            // by id
 	dirtyJobs         map[string]bool            // jobs whose progress is to be stored
 	vmRecordsToWrite  map[string]bool            // VMs whose record is to be stored
 	vmRecordsToDelete map[string]bool            // VMs whose record is to be deleted
@@ -98,7 +99,7 @@
 		vms: map[string]*vmState{}, jobs: map[string]*jobState{}, timedJobs: map[string]*jobState{},
 		openSteps: map[*stepState]bool{}, stoppingTasks: map[*taskState]bool{}, unconfirmedTasks: map[*taskState]time.Time{},
 		zoneLoads: map[string]zoneLoad{}, unreconciledZones: map[string]bool{}, runtimeModels: map[string]*estimate.Model{},
-		dirtyJobs:        map[string]bool{},
+		unreadableJobs: map[string]bool{}, dirtyJobs: map[string]bool{},
 		vmRecordsToWrite: map[string]bool{}, vmRecordsToDelete: map[string]bool{}, endedIncarnations: map[string]int64{},
 	}
 }
--- a/internal/schedule/poolscheduler/record.go
+++ b/internal/schedule/poolscheduler/record.go
@@ -56,8 +56,8 @@
 	}
 	clear(sch.vmRecordsToDelete)
 	for _, vst := range sch.sortedVMs() {
-		if vst.lastEndStored < vst.lastEndSeen {
-			bat.endCursors[vst.host.ID] = endCursor{vst.incarnation, vst.lastEndSeen}
+		if last := vst.lastStorableEnd(); vst.lastEndStored < last {
+			bat.endCursors[vst.host.ID] = endCursor{vst.incarnation, last}
 		}
 	}
 	return bat
@@ -169,12 +169,16 @@
 // RestoreJob adds a job as an earlier owner has stored it. The job may be nil if it has
 // ended, as its plan is then no longer stored.
 func (sch *Scheduler) RestoreJob(now time.Time, id string, jb *jobrecord.Job, prg jobrecord.Progress) {
-	if prg.State.IsEnded() || jb == nil {
+	if jb == nil && !prg.State.IsEnded() {
+		sch.RestoreUnreadableJob(id)
+	}
+	if sch.IsUnreadable(id) {
+		return
+	}
+	if prg.State.IsEnded() {
 		jst := &jobState{plan: placeholderPlan(id), queue: queue.Ref{Name: prg.Queue, Address: prg.Address}, state: prg.State, storedState: prg.State, endedAt: now}
 		sch.jobs[id] = jst
-		if prg.State.IsEnded() {
-			sch.endedJobs = append(sch.endedJobs, id)
-		}
+		sch.endedJobs = append(sch.endedJobs, id)
 		if jb != nil {
 			// The earlier owner stored the end without removing the submission, from which a
 			// later one would run the job again once its end is no longer stored.
--- a/internal/schedule/poolscheduler/report.go
+++ b/internal/schedule/poolscheduler/report.go
@@ -136,6 +136,7 @@
 			sch.handleRunEnd(now, vst, end)
 		}
 	}
+	vst.unreadableRuns = 0
 	activeRuns := make(map[task.ID]int, len(rpt.Active))
 	for _, run := range rpt.Active {
 		activeRuns[run.Task] = run.Number
@@ -186,6 +187,10 @@
 // the run is the current one, adopts the run if the task has none, and otherwise adds
 // it to the unwanted runs.
 func (sch *Scheduler) handleActiveRun(now time.Time, vst *vmState, sent time.Time, run agent.Run) {
+	if sch.IsUnreadable(run.Task.Job) {
+		vst.unreadableRuns++
+		return
+	}
 	tst := sch.reportedTask(run.Task)
 	if tst != nil {
 		sch.markBegun(now, tst, vst.host.ID)
--- a/internal/schedule/poolscheduler/state.go
+++ b/internal/schedule/poolscheduler/state.go
@@ -129,6 +129,8 @@
 	latencyBoundTasks   int // tasks with a latency goal
 	backgroundTasks     int
 	unwantedRuns        map[runKey]*pendingStop
+	unreadableRuns      int       // of jobs that can't be read, in the last report
+	firstHeldEnd        int64     // number of the oldest end that is not to be acknowledged; 0 for none
 	lastEndSeen         int64     // number of the newest run end that was handled
 	lastEndStored       int64     // number of the newest run end whose effect is stored
 	consecutiveFailures int       // failed runs since the last one that completed
--- a/internal/schedule/poolscheduler/vm.go
+++ b/internal/schedule/poolscheduler/vm.go
@@ -124,7 +124,8 @@
 	undecided := 0
 	ended := vst.incarnation
 	vst.restartedAt = now
-	vst.incarnation, vst.hasReported, vst.isUnreconciled, vst.lastEndSeen, vst.lastEndStored = incarnation, false, false, 0, 0
+	vst.incarnation, vst.hasReported, vst.isUnreconciled = incarnation, false, false
+	vst.lastEndSeen, vst.lastEndStored, vst.firstHeldEnd, vst.unreadableRuns = 0, 0, 0, 0
 	vst.dropUnwantedRuns()
 	for _, tst := range vst.tasks {
 		if tst.incarnation == ended {
--- a/internal/schedule/poolscheduler/zone.go
+++ b/internal/schedule/poolscheduler/zone.go
@@ -117,7 +117,7 @@
 	if !jst.isInherited || sch.allReconciled {
 		return true
 	}
-	if jst.homeZone == "" || sch.unreconciledZones[jst.homeZone] {
+	if jst.homeZone == "" || sch.unreconciledZones[jst.homeZone] || sch.unreconciledZones[""] {
 		return false
 	}
 	for _, zone := range jst.extraZones {
