Report pools of a queue that could not be read

Right after a queue had changed its pool, an entry could answer 410 for an accepted job, count none of its jobs, and submit a repetition to the new pool, where it would run again.

Cause: when an entry could not read which pools have jobs of the queue, it went by what it had read before the change, so a pool that it did not know yet counted as one without such jobs.

The pools that are known are asked; if none has the job, the failed read is the answer.

TestUnreadPoolsOfAQueueAreNotTakenForNone fails before: "cancel: found false (<nil>), want an error", "repeated submission: <nil>, 1 submitted to the present pool". TestIndexReadsKeysOnly fails before: "pools [] (<nil>)". TestIndexWhileTheLogIsDown asked for no error after another change, which is this fault; it now asks for an error there, with the pools that are known, and for none without a change.

--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -175,10 +175,7 @@
 	if now.Sub(asg.since) > repeatTime {
 		return false, nil
 	}
-	pools, err := gtw.formerPools(ctx, now, que)
-	if err != nil {
-		return false, err
-	}
+	pools, unread := gtw.formerPools(ctx, now, que)
 	for _, pool := range pools {
 		req := newRequest(pool, que, id)
 		req.MinVersion = que.Version
@@ -191,7 +188,7 @@
 			return true, nil
 		}
 	}
-	return false, nil
+	return false, unread
 }
 
 func (gtw *Gateway) logFormerPool(now time.Time, que queue.Queue, pool, id string) {
@@ -200,7 +197,7 @@
 }
 
 // formerPools returns the pools, other than the present one, that have accepted jobs of the
-// queue.
+// queue. With an error it returns those that are known; there may be others.
 func (gtw *Gateway) formerPools(ctx context.Context, now time.Time, que queue.Queue) ([]string, error) {
 	gtw.mu.Lock()
 	asg := gtw.assignments[que.Address()]
@@ -209,9 +206,9 @@
 	defer cancel()
 	pools, err := gtw.cfg.PoolIndex.Pools(ctx, now, que.Address(), asg.since)
 	if err != nil {
-		return nil, fault.Wrap(err, code.LogUnavailable, "former pools of the queue %s", que.Name)
+		err = fault.Wrap(err, code.LogUnavailable, "former pools of the queue %s", que.Name)
 	}
-	return slices.DeleteFunc(pools, func(pool string) bool { return pool == que.Pool }), nil
+	return slices.DeleteFunc(pools, func(pool string) bool { return pool == que.Pool }), err
 }
 
 // allPools returns the queue's pool and its former ones.
@@ -229,10 +226,7 @@
 		return ste, found, err
 	}
 	now := time.Now()
-	pools, err := gtw.formerPools(ctx, now, que)
-	if err != nil {
-		return 0, false, err
-	}
+	pools, unread := gtw.formerPools(ctx, now, que)
 	for _, pool := range pools {
 		ste, found, err = gtw.stateIn(ctx, newRequest(pool, que, id))
 		if found {
@@ -242,7 +236,7 @@
 			return ste, found, err
 		}
 	}
-	return 0, false, nil
+	return 0, false, unread
 }
 
 // isOfQueue returns a function that reports whether a job that was submitted to a queue is to be
@@ -286,10 +280,7 @@
 	if found || err != nil {
 		return found, err
 	}
-	pools, err := gtw.formerPools(ctx, now, que)
-	if err != nil {
-		return false, err
-	}
+	pools, unread := gtw.formerPools(ctx, now, que)
 	for _, pool := range pools {
 		found, err = gtw.cancelIn(ctx, now, newRequest(pool, que, id))
 		if found {
@@ -299,7 +290,7 @@
 			return found, err
 		}
 	}
-	return false, nil
+	return false, unread
 }
 
 // cancelIn cancels a job in one pool.
--- a/internal/schedule/gateway/gateway_test.go
+++ b/internal/schedule/gateway/gateway_test.go
@@ -212,3 +212,65 @@
 		}
 	}
 }
+
+// An entry that could not read which pools have accepted jobs of a queue, after the configuration had
+// moved the queue, went by what it had read before: it answered that there is no such job, and
+// submitted a repeated job again.
+func TestUnreadPoolsOfAQueueAreNotTakenForNone(t *testing.T) {
+	const stored, id = "old", "00000000000000c1"
+	log := logstore.New(logstore.Config{}).Client()
+	newest := log.Newest
+	var isUnread atomic.Bool
+	reader := log
+	reader.Newest = func(ctx context.Context, topic string, part int) ([]statelog.Record, int64, error) {
+		if topic == "queues" && isUnread.Load() {
+			return nil, 0, errors.New("too many reads")
+		}
+		return newest(ctx, topic, part)
+	}
+	var submitted atomic.Int64
+	ept := startPeerWith(t, log, func(json.RawMessage) (any, error) {
+		submitted.Add(1)
+		return map[string]any{}, nil
+	})
+	ept.Handle("job.state", func(context.Context, json.RawMessage) (any, error) { return map[string]any{}, nil })
+	ept.Handle("job.cancel", func(context.Context, json.RawMessage) (any, error) { return map[string]any{}, nil })
+	ept.Handle("queue.waiting", func(context.Context, json.RawMessage) (any, error) { return map[string]any{}, nil })
+	gtw := newGateway(t, reader, func() bool { return true })
+	before := queue.Queue{Name: "q", Host: "h", Prefix: "/q/", Pool: stored, Version: 1}
+	pools := []queue.Pool{{Name: stored}, {Name: "gate"}}
+	gtw.SetTable(time.Now().Add(-time.Hour), queue.NewTable(1, []queue.Queue{before}, pools))
+	if _, found, err := gtw.State(t.Context(), before, id); found || err != nil {
+		t.Fatalf("found %v (%v) before the job is submitted", found, err)
+	}
+	writer := poolindex.New(poolindex.Config{StateLog: log, Journal: journal.New(journal.Config{})})
+	pln := &plan.Plan{ID: id, Steps: []plan.Step{{Count: 1}}}
+	data, err := jobrecord.EncodeJob(jobrecord.Job{Plan: pln, Queue: before.Name, Address: before.Address()})
+	if err == nil {
+		_, err = log.Append(t.Context(), statelog.AppendRequest{Topic: "jobs", ExpectedEnd: statelog.AnyOffset, Records: []statelog.Record{{Key: stored + "/j/" + id, Value: data}}})
+	}
+	if err := errors.Join(err, writer.Record(t.Context(), before.Address(), stored)); err != nil {
+		t.Fatal(err)
+	}
+	after := before
+	after.Pool, after.Version = "gate", 2
+	gtw.SetTable(time.Now(), queue.NewTable(2, []queue.Queue{after}, pools))
+	isUnread.Store(true)
+	if _, found, err := gtw.State(t.Context(), after, id); fault.CodeOf(err) != code.LogUnavailable {
+		t.Errorf("state: found %v (%v), want an error", found, err)
+	}
+	if found, err := gtw.Cancel(t.Context(), time.Now(), after, id); fault.CodeOf(err) != code.LogUnavailable {
+		t.Errorf("cancel: found %v (%v), want an error", found, err)
+	}
+	if err := gtw.Submit(t.Context(), time.Now(), after, pln); fault.CodeOf(err) != code.LogUnavailable || submitted.Load() != 0 {
+		t.Errorf("repeated submission: %v, %d submitted to the present pool", err, submitted.Load())
+	}
+	if count, err := gtw.Queued(t.Context(), after); fault.CodeOf(err) != code.LogUnavailable {
+		t.Errorf("count %d (%v), want an error", count, err)
+	}
+	time.Sleep(1100 * time.Millisecond) // until the index is read again
+	isUnread.Store(false)
+	if _, found, err := gtw.State(t.Context(), after, id); !found || err != nil {
+		t.Errorf("state once the index can be read: found %v (%v)", found, err)
+	}
+}
--- a/internal/schedule/poolindex/poolindex.go
+++ b/internal/schedule/poolindex/poolindex.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"log/slog"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -46,13 +47,14 @@
 	cfg      Config
 	loading  sync.Mutex // held while the index is read
 	mu       sync.Mutex
-	pools    map[string][]string // by address of the queue
+	pools    map[string][]string // by hash of the queue's address
 	loadedAt time.Time           // when the last read that succeeded began; zero before
 	failedAt time.Time           // when the last read failed; zero if it succeeded
 	err      error               // of the last read
 }
 
-// entryJSON is the record of one queue in one pool.
+// entryJSON is the record of one queue in one pool. The key says as much, with a hash of the
+// address.
 type entryJSON struct {
 	Address string `json:"address"`
 	Pool    string `json:"pool"`
@@ -71,46 +73,48 @@
 	if err != nil {
 		return errors.Wrap(err, "record of a queue")
 	}
-	hash := sha256.Sum256([]byte(address))
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, err = idx.cfg.StateLog.Append(ctx, statelog.AppendRequest{
 		Topic: topic, ExpectedEnd: statelog.AnyOffset,
-		Records: []statelog.Record{{Key: pool + "/" + hex.EncodeToString(hash[:])[:keyHashLen], Value: value}},
+		Records: []statelog.Record{{Key: pool + "/" + hashOf(address), Value: value}},
 	})
 	if err != nil {
 		return errors.Wrap(err, "record of a queue")
 	}
 	idx.mu.Lock()
 	defer idx.mu.Unlock()
-	idx.add(address, pool)
+	idx.add(hashOf(address), pool)
 	return nil
 }
 
+func hashOf(address string) string {
+	hash := sha256.Sum256([]byte(address))
+	return hex.EncodeToString(hash[:])[:keyHashLen]
+}
+
 func (idx *Index) has(address, pool string) bool {
 	idx.mu.Lock()
 	defer idx.mu.Unlock()
-	return slices.Contains(idx.pools[address], pool)
+	return slices.Contains(idx.pools[hashOf(address)], pool)
 }
 
 // add adds a pool to those of a queue. The caller holds the lock.
-func (idx *Index) add(address, pool string) {
-	if !slices.Contains(idx.pools[address], pool) {
-		idx.pools[address] = append(idx.pools[address], pool)
+func (idx *Index) add(hash, pool string) {
+	if !slices.Contains(idx.pools[hash], pool) {
+		idx.pools[hash] = append(idx.pools[hash], pool)
 	}
 }
 
 // Pools returns the pools that have accepted jobs of the queue at the address, whose present
 // pool the asker has known since the given time. It reads the index unless that was done after
-// settleTime, or within it and maxAge ago at most. If the index can't be read, what was read
-// before is used. Pools fails if nothing was.
+// settleTime, or within it and maxAge ago at most. If the index can't be read, it returns an error
+// and the pools that were read before: others may have jobs of the queue too.
 func (idx *Index) Pools(ctx context.Context, now time.Time, address string, since time.Time) ([]string, error) {
-	if err := idx.refresh(ctx, now, since); err != nil {
-		return nil, err
-	}
+	err := idx.refresh(ctx, now, since)
 	idx.mu.Lock()
 	defer idx.mu.Unlock()
-	return slices.Clone(idx.pools[address]), nil
+	return slices.Clone(idx.pools[hashOf(address)]), err
 }
 
 // refresh reads the index if it is too old, once for all that wait for it.
@@ -132,25 +136,16 @@
 	if err != nil {
 		idx.failedAt = now
 		idx.cfg.Journal.Warn(now, "queuePoolsUnread", slog.Time("last", idx.loadedAt), slog.String("error", err.Error()))
-		return idx.errUnlessLoaded()
+		return idx.err
 	}
 	idx.loadedAt = now
 	for _, rec := range recs {
-		var ent entryJSON
-		if err := json.Unmarshal(rec.Value, &ent); err != nil {
-			idx.cfg.Journal.Warn(now, "recordUnreadable", slog.String("key", rec.Key), slog.String("error", err.Error()))
+		end := strings.LastIndexByte(rec.Key, '/')
+		if end < 0 {
+			idx.cfg.Journal.Warn(now, "recordUnreadable", slog.String("key", rec.Key), slog.String("error", "the key names no pool"))
 			continue
 		}
-		idx.add(ent.Address, ent.Pool)
-	}
-	return nil
-}
-
-// errUnlessLoaded returns the error of the last read if none has succeeded. The caller holds
-// the lock.
-func (idx *Index) errUnlessLoaded() error {
-	if idx.loadedAt.IsZero() {
-		return idx.err
+		idx.add(rec.Key[end+1:], rec.Key[:end])
 	}
 	return nil
 }
@@ -164,5 +159,5 @@
 		return true, nil
 	}
 	isBackingOff := !idx.failedAt.IsZero() && now.Sub(idx.failedAt) < retryDelay
-	return isBackingOff, idx.errUnlessLoaded()
+	return isBackingOff, idx.err
 }
--- a/internal/schedule/poolindex/poolindex_test.go
+++ b/internal/schedule/poolindex/poolindex_test.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// While the log is down, what was read before counts; without any, nobody may conclude that a
-// job is in no other pool.
+// While the log is down, what was read before still leads to jobs, but nobody may conclude that a
+// job is in no other pool, unless it was read after the last change.
 func TestIndexWhileTheLogIsDown(t *testing.T) {
 	var reads atomic.Int64
 	var isDown atomic.Bool
@@ -95,13 +95,43 @@
 	if err := idx.Record(t.Context(), "h/p/", "gate"); err != nil {
 		t.Fatal(err)
 	}
-	later := start.Add(3 * time.Second)
+	later := start.Add(time.Minute)
 	if _, err := idx.Pools(t.Context(), later, "h/p/", start); err != nil {
 		t.Fatal(err)
 	}
 	isDown.Store(true)
+	want := []string{"gate"}
 	later = later.Add(time.Minute)
-	if pools, err := idx.Pools(t.Context(), later, "h/p/", later); err != nil || !slices.Equal(pools, []string{"gate"}) {
-		t.Errorf("pools %v (%v), want those read before", pools, err)
+	if pools, err := idx.Pools(t.Context(), later, "h/p/", start); err != nil || !slices.Equal(pools, want) {
+		t.Errorf("pools %v (%v), want those read after the last change", pools, err)
+	}
+	for range 3 {
+		if pools, err := idx.Pools(t.Context(), later, "h/p/", later); err == nil || !slices.Equal(pools, want) {
+			t.Errorf("pools %v (%v) after another change, want those read before and an error", pools, err)
+		}
+	}
+	isDown.Store(false)
+	later = later.Add(time.Minute)
+	if pools, err := idx.Pools(t.Context(), later, "h/p/", later); err != nil || !slices.Equal(pools, want) {
+		t.Errorf("pools %v (%v) after the outage", pools, err)
+	}
+}
+
+// A record whose value can't be read names its pool all the same.
+func TestIndexReadsKeysOnly(t *testing.T) {
+	log := logstore.New(logstore.Config{}).Client()
+	if err := newIndex(log).Record(t.Context(), "h/p/", "gate"); err != nil {
+		t.Fatal(err)
+	}
+	recs, _, err := log.Newest(t.Context(), "queues", 0)
+	if err != nil || len(recs) != 1 {
+		t.Fatal(recs, err)
+	}
+	recs[0].Value = []byte("later")
+	if _, err := log.Append(t.Context(), statelog.AppendRequest{Topic: "queues", ExpectedEnd: statelog.AnyOffset, Records: recs}); err != nil {
+		t.Fatal(err)
+	}
+	if pools, err := newIndex(log).Pools(t.Context(), start, "h/p/", start); err != nil || !slices.Equal(pools, []string{"gate"}) {
+		t.Errorf("pools %v (%v), want the one in the key", pools, err)
 	}
 }
