Count maintenance whose record can't be read against the cap

Operators of a mixed fleet could see more machines of a wave down at once than its cap allows, or waves that stand still for want of a fleet controller.

Cause: a fleet controller went on without the maintenance records that it could not read, and did not open without its predecessor's list of recent orders. What it did not know counted as not ordered.

Evidence: the test, which replaces the values of the records between two controllers.

Maintenance that can't be read is restored as perhaps ordered. Without the list, all machines wait for the time that a machine on it would wait.

TestWaveKeepsItsCapWithUnreadableRecords fails before: "gate-6 was taken down while 7 others were down"; with the list unreadable "decode recent orders: invalid character 'l' looking for beginning of value".

--- a/internal/schedule/fleetcontroller/fleetcontroller.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller.go
@@ -99,17 +99,18 @@
 	unconfirmed []statelog.Record
 	// recentOrders has the time of the last order for each recently ordered machine.
 	// blockedUntil has the time until which machines that the previous controller ordered
-	// recently are not ordered again.
-	recentOrders  map[string]time.Time
-	blockedUntil  map[string]time.Time
-	mu            sync.Mutex
-	reports       map[string]report
-	arrivals      *arrivals.Arrivals
-	missingCounts map[string]int               // consecutive lists without an unresponsive VM, by VM id
-	machines      map[string]directory.Machine // by name
-	listedAt      time.Time
-	operations    map[string]*operation // by machine
-	waves         map[int64]*wave
+	// recently are not ordered again. allBlockedUntil is the same if it is not known which.
+	recentOrders    map[string]time.Time
+	blockedUntil    map[string]time.Time
+	allBlockedUntil time.Time
+	mu              sync.Mutex
+	reports         map[string]report
+	arrivals        *arrivals.Arrivals
+	missingCounts   map[string]int               // consecutive lists without an unresponsive VM, by VM id
+	machines        map[string]directory.Machine // by name
+	listedAt        time.Time
+	operations      map[string]*operation // by machine
+	waves           map[int64]*wave
 	// unrecorded is maintenance that is done but not yet stored as done.
 	unrecorded     []*operation
 	roundRequested chan struct{}
--- a/internal/schedule/fleetcontroller/fleetcontroller_test.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -41,7 +42,8 @@
 	pools        map[string]string // by machine
 	incarnations map[string]int
 	upAt         map[string]time.Time
-	orders       []order
+	orders       []order         // carried out
+	attempts     []order         // for maintenance, repeated ones too
 	isBusy       map[string]bool // machines with a task that does not end
 	// evacuating are the VMs that the fleet controller has asked to be evacuated.
 	evacuating map[string]bool
@@ -124,6 +126,7 @@
 			pool, key := plt.pools[machine], fmt.Sprint(wave, "/", machine)
 			isDone, outcomeOf := plt.maintained[key], plt.outcomeOf
 			plt.maintained[key] = true
+			plt.attempts = append(plt.attempts, order{time.Now(), machine, holder, token})
 			plt.mu.Unlock()
 			out := directory.OrderDone
 			if !isDone {
@@ -375,6 +378,60 @@
 	}
 }
 
+// A successor could not read what its predecessor had stored. It did not count machines that were
+// down against the cap, or did not open at all.
+func TestWaveKeepsItsCapWithUnreadableRecords(t *testing.T) {
+	checkCapWithUnreadableRecords(t, "w/")
+	checkCapWithUnreadableRecords(t, "o/")
+}
+
+func checkCapWithUnreadableRecords(t *testing.T, prefix string) {
+	t.Helper()
+	for ranFor := 400 * time.Millisecond; ranFor <= 2*time.Second; ranFor += 200 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
+			wav := maintenance.Wave{Number: 7, Machines: plt.names(), Cap: 4, Within: time.Minute}
+			first := openController(t, log, plt, "first")
+			first.RequestWave(time.Now(), wav)
+			plt.runFor(first, 0, ranFor)
+			first.Close()
+			recs, _, err := log.Client().Newest(t.Context(), "fleet", 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for i := range recs {
+				if strings.HasPrefix(recs[i].Key, prefix) {
+					recs[i].Value = []byte("later")
+				}
+			}
+			if _, err := log.Client().Append(t.Context(), statelog.AppendRequest{Topic: "fleet", ExpectedEnd: statelog.AnyOffset, Records: recs}); err != nil {
+				t.Fatal(err)
+			}
+			second := openController(t, log, plt, "second")
+			second.RequestWave(time.Now(), wav)
+			plt.runFor(second, 0, 40*time.Second)
+			second.Close()
+			if len(plt.orders) != len(wav.Machines) || plt.completedAt().IsZero() {
+				t.Errorf("%s, change after %s: %d orders for %d machines, completed at %s", prefix, ranFor, len(plt.orders), len(wav.Machines), plt.completedAt())
+			}
+			plt.checkCap(t, 4)
+			plt.checkHandover(t)
+		})
+	}
+}
+
+// checkHandover reports orders of two holders for one machine within the lease of the first.
+func (plt *fakePlatform) checkHandover(t *testing.T) {
+	t.Helper()
+	for i, ord := range plt.attempts {
+		for _, other := range plt.attempts[:i] {
+			if ord.machine == other.machine && ord.holder != other.holder && ord.at.Sub(other.at) < orderLease {
+				t.Errorf("%s was ordered by %s %s after %s", ord.machine, ord.holder, ord.at.Sub(other.at), other.holder)
+			}
+		}
+	}
+}
+
 // An order without a reply is repeated, and is reported as done although the machine is
 // already up again. The VM must not stay evacuated for the rest of the term.
 func TestRepeatedOrderOfDoneMaintenanceFinishes(t *testing.T) {
--- a/internal/schedule/fleetcontroller/order.go
+++ b/internal/schedule/fleetcontroller/order.go
@@ -45,7 +45,8 @@
 	for _, rec := range recs {
 		if rec.Key == recentOrdersKey {
 			if err := ctl.restoreRecentOrders(rec.Value); err != nil {
-				return err
+				ctl.cfg.Journal.Warn(now, "recordUnreadable", slog.String("key", rec.Key), slog.String("error", err.Error()))
+				ctl.allBlockedUntil = ctl.takeoverAt.Add(ctl.handoverDelay())
 			}
 			continue
 		}
@@ -56,7 +57,7 @@
 		var mnt maintenanceJSON
 		if err := json.Unmarshal(rec.Value, &mnt); err != nil {
 			ctl.cfg.Journal.Warn(now, "recordUnreadable", slog.String("key", rec.Key), slog.String("error", err.Error()))
-			continue
+			mnt = maintenanceJSON{} // it may have been ordered
 		}
 		if mnt.IsDone {
 			ctl.waveOf(number).done[machine] = true
--- a/internal/schedule/fleetcontroller/recentorders.go
+++ b/internal/schedule/fleetcontroller/recentorders.go
@@ -86,5 +86,5 @@
 // isBlocked reports whether an order of the previous controller may still affect the
 // machine.
 func (ctl *Controller) isBlocked(now time.Time, machine string) bool {
-	return now.Before(ctl.blockedUntil[machine])
+	return now.Before(ctl.blockedUntil[machine]) || now.Before(ctl.allBlockedUntil)
 }
