Keep the attempts of jobs whose queue is not configured

A job whose queue allows two attempts ran a third time, and one of a queue that allows five failed after three, once the configuration had removed the queue. Callers have not reported it.

Cause: for a queue that the owner does not find in the configuration in force it took three attempts.

Evidence: the test, for a queue that is removed and for an owner that never knew it.

The limit is stored with the submission. Earlier versions ignore the field; without it three is taken, as before.

TestJobKeepsItsAttemptsWithoutItsQueue fails without the stored limit: "removed: 3 runs of a task that always fails, want 2", "new owner, more than three: 3 runs of a task that always fails, want 5".

--- a/internal/schedule/jobrecord/jobrecord.go
+++ b/internal/schedule/jobrecord/jobrecord.go
@@ -41,6 +41,9 @@
 	Address      string    // of the queue; empty in records of entries that did not store it
 	FirstAttempt time.Time // the caller's first attempt known to the owner, by the owner's wall clock
 	Zone         string    // zone where its tasks run; empty for any zone
+	// MaxAttempts is that of the queue when the job was accepted, for when the queue is no longer
+	// configured; 0 in records of entries that did not store it.
+	MaxAttempts int
 }
 
 // Failure lists the failed runs of a task by number, so that an end that a VM
@@ -87,6 +90,7 @@
 	FirstAt      int64      `json:"firstAtMs,omitempty"`
 	Interval     int64      `json:"intervalMs,omitempty"`
 	Zone         string     `json:"zone,omitempty"`
+	MaxAttempts  int        `json:"maxAttempts,omitempty"`
 }
 
 type stepJSON struct {
@@ -116,6 +120,7 @@
 	jsn := jobJSON{
 		ID: pln.ID, Queue: jb.Queue, Address: jb.Address, FirstAttempt: jb.FirstAttempt.UnixMilli(), Spec: pln.Spec,
 		Times: pln.RepeatCount, Interval: pln.Interval.Milliseconds(), Zone: jb.Zone,
+		MaxAttempts: jb.MaxAttempts,
 	}
 	if pln.IsRepeating() {
 		jsn.FirstAt = pln.FirstAt.UnixMilli()
@@ -152,7 +157,10 @@
 	if err := pln.Check(); err != nil {
 		return Job{}, errors.Wrap(err, "job record")
 	}
-	return Job{Plan: pln, Queue: jsn.Queue, Address: jsn.Address, FirstAttempt: time.UnixMilli(jsn.FirstAttempt), Zone: jsn.Zone}, nil
+	return Job{
+		Plan: pln, Queue: jsn.Queue, Address: jsn.Address, FirstAttempt: time.UnixMilli(jsn.FirstAttempt), Zone: jsn.Zone,
+		MaxAttempts: max(0, jsn.MaxAttempts),
+	}, nil
 }
 
 func fromStepJSON(jsn *stepJSON) plan.Step {
--- a/internal/schedule/owner/requests.go
+++ b/internal/schedule/owner/requests.go
@@ -41,7 +41,9 @@
 			own.mu.Unlock()
 			return fault.NewRetryAfter(wait, code.LogUnavailable, "nothing can be stored since %s", now.Sub(own.stalledSince).Round(time.Millisecond))
 		}
-		sub = &submission{job: jobrecord.Job{Plan: pln, Queue: que.Name, Address: que.Address, FirstAttempt: own.refusals.Accept(now, pln.ID)}, resolved: make(chan struct{})}
+		sub = &submission{resolved: make(chan struct{}), job: jobrecord.Job{
+			Plan: pln, Queue: que.Name, Address: que.Address, FirstAttempt: own.refusals.Accept(now, pln.ID), MaxAttempts: own.maxAttemptsOf(que),
+		}}
 		own.pending[pln.ID] = sub
 		own.queued = append(own.queued, sub)
 		own.requestFlush()
@@ -87,6 +89,16 @@
 	return que.Address()
 }
 
+// maxAttemptsOf returns how often a task of the queue may fail, or 0 if that is not known. The caller
+// holds the lock.
+func (own *Owner) maxAttemptsOf(ref queue.Ref) int {
+	if own.table == nil {
+		return 0
+	}
+	que, _ := own.table.Find(ref)
+	return que.MaxAttempts
+}
+
 // isRoutedByOldConfig reports whether the queue has another pool by a later configuration
 // than the sender's. The caller holds the lock.
 func (own *Owner) isRoutedByOldConfig(ref queue.Ref) bool {
--- a/internal/schedule/poolscheduler/end.go
+++ b/internal/schedule/poolscheduler/end.go
@@ -55,10 +55,10 @@
 		vst.backoffUntil = now.Add(quarantineTime)
 		sch.cfg.Event(now, "vmQuarantined", slog.String("vm", vst.host.ID), slog.Int("streak", vst.consecutiveFailures))
 	}
-	que := sch.queueOf(jst.queue)
+	limit := sch.maxAttempts(jst)
 	sch.cfg.Event(now, "taskFailed", slog.String("task", tst.id.String()), slog.String("vm", vst.host.ID),
-		slog.Int("run", run), slog.Int("failures", len(tst.failedRuns)), slog.Int("limit", que.MaxAttempts))
-	if !tst.step.plan.IsLongRunning && len(tst.failedRuns) >= que.MaxAttempts {
+		slog.Int("run", run), slog.Int("failures", len(tst.failedRuns)), slog.Int("limit", limit))
+	if !tst.step.plan.IsLongRunning && len(tst.failedRuns) >= limit {
 		sch.endJob(now, jst, jobrecord.Failed, "attempts")
 	}
 }
--- a/internal/schedule/poolscheduler/poolscheduler.go
+++ b/internal/schedule/poolscheduler/poolscheduler.go
@@ -158,7 +158,7 @@
 // newJobState returns the state of a job whose caller has been waiting since the time.
 func (sch *Scheduler) newJobState(since time.Time, jb jobrecord.Job) *jobState {
 	return &jobState{
-		plan: jb.Plan, queue: queue.Ref{Name: jb.Queue, Address: jb.Address}, waitingSince: since, homeZone: jb.Zone,
+		plan: jb.Plan, queue: queue.Ref{Name: jb.Queue, Address: jb.Address}, waitingSince: since, homeZone: jb.Zone, maxAttempts: jb.MaxAttempts,
 		occurrences: make([]*occurrence, jb.Plan.Occurrences()),
 	}
 }
@@ -166,12 +166,32 @@
 // queueOf returns the settings of a job's queue. For a queue that is no longer configured
 // it returns defaults, for the jobs that the queue still has.
 func (sch *Scheduler) queueOf(ref queue.Ref) queue.Queue {
-	if sch.table != nil {
-		if que, ok := sch.table.Find(ref); ok {
-			return que
-		}
+	if que, ok := sch.findQueue(ref); ok {
+		return que
+	}
+	return queue.Queue{Name: ref.Name, DeadlineFactor: 1.5}
+}
+
+func (sch *Scheduler) findQueue(ref queue.Ref) (queue.Queue, bool) {
+	if sch.table == nil {
+		return queue.Queue{}, false
+	}
+	return sch.table.Find(ref)
+}
+
+// defaultMaxAttempts is that of a job of which neither the configuration nor the record tells.
+const defaultMaxAttempts = 3
+
+// maxAttempts returns how often a task of the job may fail. Of a queue that is not configured, as it
+// was removed or this entry has not read of it yet, the limit last known for the job holds.
+func (sch *Scheduler) maxAttempts(jst *jobState) int {
+	if que, ok := sch.findQueue(jst.queue); ok {
+		jst.maxAttempts = que.MaxAttempts
+	}
+	if jst.maxAttempts > 0 {
+		return jst.maxAttempts
 	}
-	return queue.Queue{Name: ref.Name, MaxAttempts: 3, DeadlineFactor: 1.5}
+	return defaultMaxAttempts
 }
 
 // openDueOccurrences opens the job's occurrences that are due.
--- a/internal/schedule/poolscheduler/record.go
+++ b/internal/schedule/poolscheduler/record.go
@@ -119,7 +119,7 @@
 	upd := JobUpdate{ID: jst.plan.ID, Progress: progressOf(jst), MayBeSetApart: jst.plan.IsRepeating() || jst.isSetApart}
 	if upd.Progress.IsCompact() && !jst.isSetApart {
 		upd.Submission = &jobrecord.Job{
-			Plan: jst.plan, Queue: jst.queue.Name, Address: jst.queue.Address, FirstAttempt: jst.waitingSince, Zone: jst.homeZone,
+			Plan: jst.plan, Queue: jst.queue.Name, Address: jst.queue.Address, FirstAttempt: jst.waitingSince, Zone: jst.homeZone, MaxAttempts: jst.maxAttempts,
 		}
 	}
 	return upd
