Open owners for pools that are no longer configured

Cause: entries open owners for the pools of the configuration in force only, though VMs of a dropped pool go on and its jobs are stored.

Pools that have accepted jobs are on record; those that are not active have owners too.

TestJobsOfADroppedPoolRunToTheirEndAfterAChangeOfOwner fails before: "job is queued".

--- a/internal/fleet/queue/queue.go
+++ b/internal/fleet/queue/queue.go
@@ -3,6 +3,7 @@
 package queue
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -73,6 +74,11 @@
 // Pools returns the pools in the order of their names.
 func (tab *Table) Pools() []Pool { return tab.pools }
 
+// IsActive reports whether the pool is configured and its VMs are on.
+func (tab *Table) IsActive(pool string) bool {
+	return slices.Contains(tab.pools, Pool{Name: pool})
+}
+
 // Queues returns the queues in the order in which Match tries them.
 func (tab *Table) Queues() []Queue { return tab.queues }
 
--- a/internal/schedule/fleetcontroller/moves.go
+++ b/internal/schedule/fleetcontroller/moves.go
@@ -16,7 +16,7 @@
 		return
 	}
 	names := ctl.machineNamesByVM()
-	pools := append(ctl.standbyPools(now, tab, names), ctl.reportedPools(now, names)...)
+	pools := append(ctl.standbyPools(now, tab, names), ctl.reportedPools(now, tab, names)...)
 	ctl.logPools(now, pools)
 	for _, trf := range balance.Decide(now, pools, ctl.ordersPerRound()) {
 		mac := ctl.machines[names[trf.VM]]
@@ -58,14 +58,15 @@
 	return pools
 }
 
-// reportedPools returns the pools with a recent report of their owner. VMs that the
+// reportedPools returns the active pools with a recent report of their owner. Others, which still
+// have jobs, neither give nor get VMs. VMs that the
 // machine list does not show, or whose machine is blocked or has an operation in
 // progress, are marked unusable so that they are not moved.
-func (ctl *Controller) reportedPools(now time.Time, names map[string]string) []balance.Pool {
+func (ctl *Controller) reportedPools(now time.Time, tab *queue.Table, names map[string]string) []balance.Pool {
 	var pools []balance.Pool
 	incoming := ctl.incoming()
 	for _, rpt := range ctl.reports {
-		if now.Sub(rpt.at) > maxReportAge {
+		if now.Sub(rpt.at) > maxReportAge || !tab.IsActive(rpt.pool.Name) {
 			continue
 		}
 		pol := rpt.pool
--- a/internal/schedule/poolindex/poolindex.go
+++ b/internal/schedule/poolindex/poolindex.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -117,6 +118,25 @@
 	return slices.Clone(idx.pools[hashOf(address)]), err
 }
 
+// Refresh reads the index as Pools does, for an asker that has known the pools of the queues since
+// the given time.
+func (idx *Index) Refresh(ctx context.Context, now, since time.Time) error {
+	return idx.refresh(ctx, now, since)
+}
+
+// PoolNames returns the pools that have accepted jobs, as far as they have been read.
+func (idx *Index) PoolNames() []string {
+	idx.mu.Lock()
+	defer idx.mu.Unlock()
+	seen := map[string]bool{}
+	for _, pools := range idx.pools {
+		for _, pool := range pools {
+			seen[pool] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
 // refresh reads the index if it is too old, once for all that wait for it.
 func (idx *Index) refresh(ctx context.Context, now, since time.Time) error {
 	if ok, err := idx.isUsable(now, since); ok {
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -99,9 +100,11 @@
 	partitions   []int
 	hosts        map[string]host.Host
 	vmListReadAt time.Time
-	owners       map[string]*owner.Owner
-	opening      map[string]bool      // by claim name: a pool or fleetcontroller.ClaimName
-	failedAt     map[string]time.Time // by claim name: when it was last lost, deferred or not opened
+	// poolsChangedAt is when this entry learned of the last change of the active pools.
+	poolsChangedAt time.Time
+	owners         map[string]*owner.Owner
+	opening        map[string]bool      // by claim name: a pool or fleetcontroller.ClaimName
+	failedAt       map[string]time.Time // by claim name: when it was last lost, deferred or not opened
 	// confirmedAt is when the last successful join was sent, or the time of the start
 	// while hasJoined is false.
 	confirmedAt time.Time
@@ -146,6 +149,7 @@
 		loop.Start("hosts", svc.followVMList),
 		loop.Every("reconcile", reconcileInterval, svc.reconcile),
 		loop.EveryOrWoken("report", reportInterval, minReportPause, svc.reportRequested, svc.report),
+		loop.Every("formerPools", formerPoolsInterval, svc.refreshFormerPools),
 	}
 	return svc, nil
 }
@@ -285,6 +289,9 @@
 		svc.cfg.Journal.Event(now, "configInForce", slog.Int64("version", rec.Table.Version()))
 		svc.mu.Lock()
 		defer svc.mu.Unlock()
+		if old == nil || !slices.Equal(old.Pools(), rec.Table.Pools()) {
+			svc.poolsChangedAt = now
+		}
 		for _, own := range svc.owners {
 			own.SetTable(rec.Table)
 		}
@@ -394,15 +401,27 @@
 	}
 	svc.reconcileController(now, assigned)
 	for i, pool := range tab.Pools() {
-		isBackingOff := now.Sub(svc.failedAt[pool.Name]) < reopenDelay
-		if pool.IsStandby || !assigned[svc.assignedPartition(i)] || svc.owners[pool.Name] != nil || svc.opening[pool.Name] || isBackingOff {
-			continue
+		if !pool.IsStandby && assigned[svc.assignedPartition(i)] {
+			svc.startOpening(now, pool.Name, tab)
+		}
+	}
+	for _, pool := range svc.formerPools(tab) {
+		if assigned[group.PartitionOf(pool, svc.cfg.Partitions)] {
+			svc.startOpening(now, pool, tab)
 		}
-		svc.opening[pool.Name] = true
-		go svc.openPool(pool.Name, tab)
 	}
 }
 
+// startOpening opens the pool in the background unless it is open, is being opened or could not be
+// opened a short time ago. The caller holds the lock.
+func (svc *Service) startOpening(now time.Time, pool string, tab *queue.Table) {
+	if svc.owners[pool] != nil || svc.opening[pool] || now.Sub(svc.failedAt[pool]) < reopenDelay {
+		return
+	}
+	svc.opening[pool] = true
+	go svc.openPool(pool, tab)
+}
+
 // isConfirmed reports whether the membership of this entry is confirmed. An entry
 // without a confirmed membership must not take over anything, as all entries may have
 // lost the log. The caller holds the lock.
--- a/internal/schedule/service/service_test.go
+++ b/internal/schedule/service/service_test.go
@@ -470,6 +470,37 @@
 	ste.checkInvariants()
 }
 
+// The configuration dropped a pool whose VMs went on, and its owner ended. The pool got no other one, so
+// that its accepted jobs never ran.
+func TestJobsOfADroppedPoolRunToTheirEndAfterAChangeOfOwner(t *testing.T) {
+	const jobs = 3
+	ste := startSite(t, 1)
+	plans := make([]*plan.Plan, jobs)
+	for num := range plans {
+		plans[num] = job(num)
+		plans[num].Steps[0].Count = 300 // 12 run at a time
+		ste.submit(ste.entries[0], plans[num])
+	}
+	moved := passes
+	moved.Pool = otherPool
+	ste.table.Store(queue.NewTable(2, []queue.Queue{moved}, []queue.Pool{{Name: otherPool}}))
+	ste.awaitTable()
+	ste.stop()
+	ste.entries = nil
+	for range 2 {
+		ste.startEntry(entryMilliCores)
+	}
+	ste.awaitTable()
+	for num, pln := range plans {
+		ste.awaitIn(moved, ste.entries[num%2], pln.ID)
+	}
+	if count, err := ste.entries[0].Gateway().Queued(t.Context(), ste.queueAt(moved)); count != 0 || err != nil {
+		t.Errorf("%d jobs wait (%v), want none", count, err)
+	}
+	ste.stop()
+	ste.checkInvariants()
+}
+
 // queueAt returns the queue as the configuration in force has it.
 func (ste *site) queueAt(que queue.Queue) queue.Queue {
 	found, _, ok := ste.table.Load().Match(que.Host, que.Prefix)
