Hand the jobs of a pool without VMs over to their queue's pool

Cause: a job belonged to the pool that accepted it to its end.

Evidence: the test of the service, with a pool that becomes a standby pool while its jobs run.

A pool that is not active and has no VMs left replaces the records of such a job by one of the handover, so that no owner of it runs the job again, passes job and progress to the owner of the active pool, which stores them unless it has the job, and removes its record. Each step can be repeated by a later owner. A job that goes on waits until the record of the pool before is gone.

TestJobsOfAPoolWithoutVMsGoToTheNextPool fails before: "job is running".

--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -57,6 +57,7 @@
 	methodState  = "job.state"
 	methodCancel = "job.cancel"
 	methodQueued = "queue.waiting"
+	methodAdopt  = "job.adopt"
 )
 
 // Config holds what a Gateway needs.
@@ -98,6 +99,7 @@
 	cfg.PeerEndpoint.Handle(methodState, gtw.serveState)
 	cfg.PeerEndpoint.Handle(methodCancel, gtw.serveCancel)
 	cfg.PeerEndpoint.Handle(methodQueued, gtw.serveQueued)
+	cfg.PeerEndpoint.Handle(methodAdopt, gtw.serveAdopt)
 	return gtw
 }
 
@@ -124,6 +126,8 @@
 	Version int64           `json:"version,omitempty"` // of the configuration by which the sender routes
 	ID      string          `json:"id,omitempty"`
 	Job     json.RawMessage `json:"job,omitempty"`
+	// Handover is the record of a job that another pool hands over.
+	Handover json.RawMessage `json:"handover,omitempty"`
 	// MinVersion is the version of the configuration that the owner must have read to
 	// answer. Then it no longer accepts jobs that are routed by earlier ones.
 	MinVersion int64 `json:"minVersion,omitempty"`
@@ -217,6 +221,43 @@
 	return append([]string{que.Pool}, pools...), err
 }
 
+// HandOver passes a job to the owner of another pool, and returns once it is stored there.
+func (gtw *Gateway) HandOver(ctx context.Context, hnd jobrecord.Handover) error {
+	if hnd.Previous != "" {
+		part := group.PartitionOf(hnd.Previous, gtw.cfg.Partitions)
+		_, found, err := owner.StoredHandover(ctx, gtw.cfg.StateLog, hnd.Previous, part, hnd.Job.Plan.ID, func(queue.Ref) bool { return true })
+		if err != nil {
+			return err
+		}
+		if found {
+			return fault.New(code.NotReady, "the pool %s has not ended its handover of job %s", hnd.Previous, hnd.Job.Plan.ID)
+		}
+	}
+	data, err := jobrecord.EncodeHandover(hnd)
+	if err != nil {
+		return err
+	}
+	req := request{Pool: hnd.To, ID: hnd.Job.Plan.ID, Handover: data}
+	_, err = gtw.call(ctx, methodAdopt, req, func(own *owner.Owner) (reply, error) {
+		return reply{}, own.Adopt(ctx, time.Now(), hnd)
+	})
+	return err
+}
+
+func (gtw *Gateway) serveAdopt(ctx context.Context, params json.RawMessage) (any, error) {
+	req, own, err := gtw.decodeAndFindOwner(params)
+	if err != nil {
+		return nil, err
+	}
+	hnd, err := jobrecord.DecodeHandover(req.Handover)
+	if err != nil {
+		return nil, fault.Wrap(err, code.BadShape, "peer's handover")
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return reply{}, own.Adopt(ctx, time.Now(), hnd)
+}
+
 // State returns the state of a job. If the owner does not know the job or does not
 // answer, the state log is read, so that a job is reported as missing only if it is
 // not stored.
@@ -236,6 +277,11 @@
 			return ste, found, err
 		}
 	}
+	if len(pools) > 0 { // it may have been handed over meanwhile
+		if ste, found, err = gtw.stateIn(ctx, newRequest(que.Pool, que, id)); found || err != nil {
+			return ste, found, err
+		}
+	}
 	return 0, false, unread
 }
 
@@ -267,7 +313,11 @@
 	part := group.PartitionOf(req.Pool, gtw.cfg.Partitions)
 	ctx, cancel := gtw.limitIfCutOff(ctx)
 	defer cancel()
-	ste, found, lookupErr := owner.StoredState(ctx, gtw.cfg.StateLog, req.Pool, part, req.ID, gtw.isOfQueue(req.queue()))
+	isOfQueue := gtw.isOfQueue(req.queue())
+	ste, found, lookupErr := owner.StoredState(ctx, gtw.cfg.StateLog, req.Pool, part, req.ID, isOfQueue)
+	if err != nil && lookupErr == nil && !found {
+		ste, found, lookupErr = owner.StoredHandover(ctx, gtw.cfg.StateLog, req.Pool, part, req.ID, isOfQueue)
+	}
 	if lookupErr != nil {
 		return 0, false, fault.Wrap(lookupErr, code.LogUnavailable, "state of job %s", req.ID)
 	}
--- a/internal/schedule/jobrecord/jobrecord.go
+++ b/internal/schedule/jobrecord/jobrecord.go
@@ -44,6 +44,8 @@
 	// MaxAttempts is that of the queue when the job was accepted, for when the queue is no longer
 	// configured; 0 in records of entries that did not store it.
 	MaxAttempts int
+	// From is the pool that handed the job over; empty for none.
+	From string
 }
 
 // Failure lists the failed runs of a task by number, so that an end that a VM
@@ -91,6 +93,7 @@
 	Interval     int64      `json:"intervalMs,omitempty"`
 	Zone         string     `json:"zone,omitempty"`
 	MaxAttempts  int        `json:"maxAttempts,omitempty"`
+	From         string     `json:"from,omitempty"`
 }
 
 type stepJSON struct {
@@ -120,7 +123,7 @@
 	jsn := jobJSON{
 		ID: pln.ID, Queue: jb.Queue, Address: jb.Address, FirstAttempt: jb.FirstAttempt.UnixMilli(), Spec: pln.Spec,
 		Times: pln.RepeatCount, Interval: pln.Interval.Milliseconds(), Zone: jb.Zone,
-		MaxAttempts: jb.MaxAttempts,
+		MaxAttempts: jb.MaxAttempts, From: jb.From,
 	}
 	if pln.IsRepeating() {
 		jsn.FirstAt = pln.FirstAt.UnixMilli()
@@ -159,7 +162,7 @@
 	}
 	return Job{
 		Plan: pln, Queue: jsn.Queue, Address: jsn.Address, FirstAttempt: time.UnixMilli(jsn.FirstAttempt), Zone: jsn.Zone,
-		MaxAttempts: max(0, jsn.MaxAttempts),
+		MaxAttempts: max(0, jsn.MaxAttempts), From: jsn.From,
 	}, nil
 }
 
--- a/internal/schedule/owner/append.go
+++ b/internal/schedule/owner/append.go
@@ -31,11 +31,13 @@
 
 // batch holds records to append and what waits for them.
 type batch struct {
-	subs    []*submission
-	changes poolscheduler.Batch
-	waiters []chan struct{}
-	records []statelog.Record
-	isPart  bool // other records of the changes follow in another append
+	subs           []*submission
+	changes        poolscheduler.Batch
+	waiters        []chan struct{}
+	records        []statelog.Record
+	handovers      []string // jobs whose handover is stored
+	endedHandovers []string // jobs whose handover is removed
+	isPart         bool     // other records of the changes follow in another append
 }
 
 // recordBytes returns the size of a record in an append.
@@ -55,7 +57,7 @@
 			size, from = recordBytes(rec), i
 		}
 	}
-	parts = append(parts, batch{changes: bat.changes, waiters: bat.waiters, records: bat.records[from:]})
+	parts = append(parts, batch{changes: bat.changes, waiters: bat.waiters, handovers: bat.handovers, endedHandovers: bat.endedHandovers, records: bat.records[from:]})
 	parts[0].subs = bat.subs
 	return parts
 }
@@ -125,7 +127,7 @@
 	own.mu.Lock()
 	own.areQueuesRecorded = true
 	own.mu.Unlock()
-	return nil
+	return own.recordNextPools(bat)
 }
 
 // takeBatch collects the pending records. It reports in more whether submissions
@@ -144,13 +146,26 @@
 			own.resolve(sub, fault.New(code.BadShape, "job cannot be stored in %d bytes (%v)", recordBytes(rec), err))
 			continue
 		}
-		if size += recordBytes(rec); size > maxAppendBytes && len(bat.subs) > 0 {
+		recs := []statelog.Record{rec}
+		if sub.progress != nil {
+			recs, err = own.adoptedRecords(sub, rec)
+		}
+		if err != nil || !own.isStorable(recs[len(recs)-1]) {
+			own.queued = own.queued[1:]
+			own.resolve(sub, fault.New(code.BadShape, "progress can't be stored (%v)", err))
+			continue
+		}
+		for i := range recs {
+			size += recordBytes(recs[i])
+		}
+		if size > maxAppendBytes && len(bat.subs) > 0 {
 			break
 		}
 		own.queued = own.queued[1:]
 		bat.subs = append(bat.subs, sub)
-		bat.records = append(bat.records, rec)
+		bat.records = append(bat.records, recs...)
 	}
+	own.addHandovers(now, &bat)
 	bat.changes = own.sch.TakeBatch()
 	bat.waiters, own.waiters = own.waiters, nil
 	for i := range bat.changes.Updates {
@@ -166,6 +181,17 @@
 	return bat, len(own.queued) > 0
 }
 
+// adoptedRecords returns the records of a job that another pool hands over, given that of its
+// submission.
+func (own *Owner) adoptedRecords(sub *submission, submitted statelog.Record) ([]statelog.Record, error) {
+	id := sub.job.Plan.ID
+	if sub.progress.IsCompact() {
+		submitted.Key = apartKey(own.cfg.Pool, id)
+	}
+	data, err := jobrecord.EncodeProgress(*sub.progress)
+	return []statelog.Record{submitted, {Key: progressKey(own.cfg.Pool, id), Value: data}}, err
+}
+
 // isStorable reports whether the state log accepts a record of this length. It refuses an
 // append with a longer one, and with it all other changes of the pool.
 func (own *Owner) isStorable(rec statelog.Record) bool {
@@ -292,13 +318,18 @@
 	own.mu.Lock()
 	defer own.mu.Unlock()
 	for _, sub := range bat.subs {
-		own.sch.Accept(now, sub.job)
+		if sub.progress != nil {
+			own.sch.Adopt(now, sub.job, *sub.progress)
+		} else {
+			own.sch.Accept(now, sub.job)
+		}
 		own.resolve(sub, nil)
 		own.event(now, "jobStored", slog.String("job", sub.job.Plan.ID), slog.String("queue", sub.job.Queue),
 			slog.Int("steps", len(sub.job.Plan.Steps)), slog.Duration("after", now.Sub(sub.job.FirstAttempt)))
 	}
 	if !bat.isPart {
 		own.sch.CommitBatch(bat.changes)
+		own.commitHandovers(bat)
 		for _, wtr := range bat.waiters {
 			close(wtr)
 		}
--- a/internal/schedule/owner/count.go
+++ b/internal/schedule/owner/count.go
@@ -8,6 +8,7 @@
 	"daisywheel/internal/fleet/queue"
 	"daisywheel/internal/result/code"
 	"daisywheel/internal/result/fault"
+	"daisywheel/internal/schedule/jobrecord"
 )
 
 const (
@@ -72,6 +73,12 @@
 		return 0, fault.New(code.NotReady, "the owner of the pool was last confirmed %s ago", age.Round(time.Millisecond))
 	}
 	count := own.sch.CountQueued(ref)
+	for _, hnd := range own.handovers {
+		job := &hnd.record.Job
+		if !hnd.isAdopted && hnd.record.Progress.State == jobrecord.Queued && !job.Plan.IsRepeating() && ref.IsSame(queue.Ref{Name: job.Queue, Address: job.Address}) {
+			count++
+		}
+	}
 	own.event(now, "queueCounted", append(attrs, slog.Int("count", count))...)
 	return count, nil
 }
--- a/internal/schedule/owner/loops.go
+++ b/internal/schedule/owner/loops.go
@@ -125,6 +125,7 @@
 		now := own.cfg.Now()
 		own.mu.Lock()
 		own.sch.Tick(now)
+		own.startHandovers(now)
 		if own.sch.HasChanges() {
 			own.requestFlush()
 		}
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -60,6 +60,9 @@
 	Journal         *journal.Journal
 	Metrics         *metrics.Set
 	Table           *queue.Table
+	// HandOver passes a job to the owner of another pool, and returns once it is stored there. If it
+	// is nil, jobs stay in the pool.
+	HandOver func(ctx context.Context, hnd jobrecord.Handover) error
 	// RequestReport asks for a report on the pool before its regular time.
 	RequestReport func()
 	// SinceBoot is a clock that also counts the time for which the machine was suspended; nil
@@ -78,7 +81,9 @@
 	table        *queue.Table
 	polled       map[string]bool // VMs that have a poll loop
 	pending      map[string]*submission
-	queued       []*submission // not yet in a batch
+	queued       []*submission        // not yet in a batch
+	handovers    map[string]*handover // by job
+	hasVMList    bool
 	refusals     *refusal.Refusals
 	waiters      []chan struct{} // each is closed when the next batch is stored
 	// appendTime and orderTime are histograms of call durations in seconds.
@@ -104,6 +109,7 @@
 // submission is a job waiting to be stored.
 type submission struct {
 	job      jobrecord.Job
+	progress *jobrecord.Progress // of a job that another pool hands over; else nil
 	err      error
 	resolved chan struct{} // closed when the outcome is known
 }
@@ -123,7 +129,7 @@
 		return nil, err
 	}
 	own := &Owner{
-		cfg: cfg, fencingToken: clm.FencingToken(), table: cfg.Table, polled: map[string]bool{}, pending: map[string]*submission{}, refusals: refusal.New(),
+		cfg: cfg, fencingToken: clm.FencingToken(), table: cfg.Table, polled: map[string]bool{}, pending: map[string]*submission{}, handovers: map[string]*handover{}, refusals: refusal.New(),
 		planRequested: make(chan struct{}, 1), flushRequested: make(chan struct{}, 1), claimCheckRequested: make(chan struct{}, 1), confirmed: cnf,
 		quit: make(chan struct{}), lost: make(chan struct{}), done: make(chan struct{}),
 	}
@@ -145,6 +151,9 @@
 	own.loops.Go(own.appendLoop)
 	own.loops.Go(own.tickLoop)
 	own.loops.Go(own.claimLoop)
+	if cfg.HandOver != nil {
+		own.loops.Go(own.handoverLoop)
+	}
 	go func() {
 		own.loops.Wait()
 		close(own.done)
@@ -163,6 +172,7 @@
 const (
 	jobPrefix      = "j/"
 	apartPrefix    = "n/" // of submissions that are set apart, see poolscheduler.JobUpdate
+	handoverPrefix = "m/"
 	progressPrefix = "p/"
 	vmPrefix       = "v/"
 	jobsTopic      = "jobs"
@@ -170,6 +180,7 @@
 
 func jobKey(pool, id string) string      { return pool + "/" + jobPrefix + id }
 func apartKey(pool, id string) string    { return pool + "/" + apartPrefix + id }
+func handoverKey(pool, id string) string { return pool + "/" + handoverPrefix + id }
 func vmKey(pool, id string) string       { return pool + "/" + vmPrefix + id }
 func progressKey(pool, id string) string { return pool + "/" + progressPrefix + id }
 
@@ -196,9 +207,15 @@
 			continue
 		}
 		kind, id, _ := strings.Cut(rest, "/")
-		if kind+"/" == vmPrefix {
+		switch kind + "/" {
+		case vmPrefix:
 			err = own.restoreVM(now, id, rec.Value)
-		} else if err = readRecord(rest, rec.Value, jobs, progress); err != nil {
+		case handoverPrefix:
+			err = own.restoreHandover(id, rec.Value)
+		default:
+			err = readRecord(rest, rec.Value, jobs, progress)
+		}
+		if err != nil && kind+"/" != vmPrefix {
 			own.sch.RestoreUnreadableJob(id)
 		}
 		if err != nil {
@@ -206,6 +223,12 @@
 			own.cfg.Journal.Warn(now, "recordUnreadable", slog.String("key", rec.Key), slog.String("error", err.Error()))
 		}
 	}
+	for id, hnd := range own.handovers { // what else is stored of it was to be removed
+		_, hasProgress := progress[id]
+		hnd.isStored = jobs[id] == nil && !hasProgress
+		delete(jobs, id)
+		delete(progress, id)
+	}
 	for id, jb := range jobs {
 		own.sch.RestoreJob(now, id, jb, progress[id])
 		delete(progress, id)
@@ -355,6 +378,7 @@
 func (own *Owner) SetListedVMs(now time.Time, hosts []host.Host) {
 	own.mu.Lock()
 	defer own.mu.Unlock()
+	own.hasVMList = true
 	own.sch.SetListedVMs(now, hosts)
 	for _, hst := range hosts {
 		own.startPolling(hst.ID)
--- a/internal/schedule/owner/requests.go
+++ b/internal/schedule/owner/requests.go
@@ -22,7 +22,7 @@
 		own.mu.Unlock()
 		return fault.New(code.KeyConflict, "another queue has a job %s", pln.ID)
 	}
-	if _, ok := own.sch.State(pln.ID); ok || own.sch.IsUnreadable(pln.ID) {
+	if own.isKnown(pln.ID) {
 		own.mu.Unlock()
 		return nil
 	}
@@ -44,23 +44,33 @@
 		sub = &submission{resolved: make(chan struct{}), job: jobrecord.Job{
 			Plan: pln, Queue: que.Name, Address: que.Address, FirstAttempt: own.refusals.Accept(now, pln.ID), MaxAttempts: own.maxAttemptsOf(que),
 		}}
-		own.pending[pln.ID] = sub
-		own.queued = append(own.queued, sub)
-		own.requestFlush()
+		own.enqueue(sub)
 	}
 	own.mu.Unlock()
+	return own.awaitStored(ctx, sub)
+}
+
+// enqueue adds a submission to those that wait to be stored. The caller holds the lock.
+func (own *Owner) enqueue(sub *submission) {
+	own.pending[sub.job.Plan.ID] = sub
+	own.queued = append(own.queued, sub)
+	own.requestFlush()
+}
+
+// awaitStored returns the outcome of a submission.
+func (own *Owner) awaitStored(ctx context.Context, sub *submission) error {
 	select {
 	case <-sub.resolved:
 		return sub.err
 	case <-ctx.Done():
-		return fault.New(code.OutcomeUnknown, "job %s may be stored", pln.ID)
+		return fault.New(code.OutcomeUnknown, "job %s may be stored", sub.job.Plan.ID)
 	case <-own.done:
 	}
 	select {
 	case <-sub.resolved:
 		return sub.err
 	default:
-		return fault.New(code.OutcomeUnknown, "job %s may be stored", pln.ID)
+		return fault.New(code.OutcomeUnknown, "job %s may be stored", sub.job.Plan.ID)
 	}
 }
 
@@ -114,6 +124,9 @@
 // earlier versions ask without a queue. The caller holds the lock.
 func (own *Owner) isOfOtherQueue(id string, ref queue.Ref) bool {
 	jobRef, ok := own.sch.Queue(id)
+	if hnd, isLeaving := own.handovers[id]; isLeaving {
+		jobRef, ok = queue.Ref{Name: hnd.record.Job.Queue, Address: hnd.record.Job.Address}, true
+	}
 	if sub, isPending := own.pending[id]; isPending {
 		jobRef, ok = queue.Ref{Name: sub.job.Queue, Address: sub.job.Address}, true
 	}
@@ -143,6 +156,9 @@
 	if _, isPending := own.pending[id]; isPending {
 		return jobrecord.Queued, true, nil
 	}
+	if hnd, isLeaving := own.handovers[id]; isLeaving {
+		return hnd.record.Progress.State, true, nil
+	}
 	ste, ok = own.sch.State(id)
 	return ste, ok, nil
 }
@@ -159,6 +175,10 @@
 		own.mu.Unlock()
 		return false, newUnknownJob(que.Name, id)
 	}
+	if hnd, isLeaving := own.handovers[id]; isLeaving {
+		own.mu.Unlock()
+		return true, fault.New(code.NotReady, "job %s goes to the pool %s", id, hnd.record.To)
+	}
 	if sub, isPending := own.pending[id]; isPending {
 		own.mu.Unlock()
 		select {
--- a/internal/schedule/poolscheduler/record.go
+++ b/internal/schedule/poolscheduler/record.go
@@ -118,13 +118,19 @@
 func newJobUpdate(jst *jobState) JobUpdate {
 	upd := JobUpdate{ID: jst.plan.ID, Progress: progressOf(jst), MayBeSetApart: jst.plan.IsRepeating() || jst.isSetApart}
 	if upd.Progress.IsCompact() && !jst.isSetApart {
-		upd.Submission = &jobrecord.Job{
-			Plan: jst.plan, Queue: jst.queue.Name, Address: jst.queue.Address, FirstAttempt: jst.waitingSince, Zone: jst.homeZone, MaxAttempts: jst.maxAttempts,
-		}
+		jb := submissionOf(jst)
+		upd.Submission = &jb
 	}
 	return upd
 }
 
+func submissionOf(jst *jobState) jobrecord.Job {
+	return jobrecord.Job{
+		Plan: jst.plan, Queue: jst.queue.Name, Address: jst.queue.Address, FirstAttempt: jst.waitingSince, Zone: jst.homeZone, MaxAttempts: jst.maxAttempts,
+		From: jst.from,
+	}
+}
+
 func progressOf(jst *jobState) jobrecord.Progress {
 	prg := jobrecord.Progress{State: jst.state, Queue: jst.queue.Name, Address: jst.queue.Address, Ended: jst.endedAt}
 	if jst.state.IsEnded() {
@@ -187,16 +193,22 @@
 		}
 		return
 	}
-	jst := sch.newJobState(firstAttemptTime(now, *jb), *jb)
+	sch.restoreOpenJob(now, *jb, prg)
+}
+
+// restoreOpenJob adds a job that has not ended.
+func (sch *Scheduler) restoreOpenJob(now time.Time, jb jobrecord.Job, prg jobrecord.Progress) *jobState {
+	jst := sch.newJobState(firstAttemptTime(now, jb), jb)
 	jst.isSetApart = prg.Occurrences.Len() > 0
 	jst.extraZones = prg.ExtraZones
 	jst.isInherited, jst.storedState = !sch.cfg.IsFirstTerm, prg.State
 	jst.hasBegun = prg.State == jobrecord.Running
-	sch.jobs[id] = jst
+	sch.jobs[jb.Plan.ID] = jst
 	sch.restoreDoneOccurrences(jst, prg)
 	sch.openDueOccurrences(now, jst)
 	sch.updateTimedJobs(jst)
 	sch.restoreTasks(jst, prg)
+	return jst
 }
 
 // restoreDoneOccurrences finds the occurrences whose steps are all done.
--- a/internal/schedule/poolscheduler/state.go
+++ b/internal/schedule/poolscheduler/state.go
@@ -79,6 +79,7 @@
 	plan            *plan.Plan
 	queue           queue.Ref
 	maxAttempts     int           // as last known, see Scheduler.maxAttempts
+	from            string        // pool that handed it over; empty for none
 	waitingSince    time.Time     // since when its caller has been waiting
 	occurrences     []*occurrence // by number; nil while not due, and once done
 	openOccurrences int           // number of those that are not nil
--- a/internal/schedule/service/service_test.go
+++ b/internal/schedule/service/service_test.go
@@ -45,6 +45,7 @@
 	entries   []*service.Service
 	addresses []string // peer addresses of the entries
 	table     atomic.Pointer[queue.Table]
+	off       atomic.Bool  // the VMs of pool are off
 	odd       atomic.Bool  // the announcement of vm-0 and one that names no VM can't be read
 	cut       atomic.Int32 // entry whose joins fail, or noEntry or allEntries
 	down      atomic.Bool  // the log fails all joins, appends and reads
@@ -206,6 +207,10 @@
 		Hosts: func(_ context.Context, cursor int64) (directory.HostPage, error) {
 			page := directory.HostPage{IsSnapshot: cursor == directory.StartCursor, Next: 1}
 			for _, hst := range ste.fleet.Hosts() {
+				if ste.off.Load() && hst.Pool == pool {
+					page.Changes = append(page.Changes, directory.HostChange{ID: hst.ID, IsGone: true})
+					continue
+				}
 				chg := directory.HostChange{ID: hst.ID, Host: hst}
 				if ste.odd.Load() && hst.ID == "vm-0" {
 					chg = directory.HostChange{ID: hst.ID, Err: errors.New("deeply nested")}
@@ -501,6 +506,45 @@
 	ste.checkInvariants()
 }
 
+// The VMs of a pool were switched off after its queue had got another pool. Its accepted jobs waited
+// for them.
+func TestJobsOfAPoolWithoutVMsGoToTheNextPool(t *testing.T) {
+	const jobs = 3
+	ste := startSite(t, 2)
+	plans := make([]*plan.Plan, jobs)
+	for num := range plans {
+		plans[num] = job(num)
+		plans[num].Steps[0].Count = 150 // 12 run at a time
+		ste.submit(ste.entries[num%2], plans[num])
+	}
+	moved := passes
+	moved.Pool = otherPool
+	ste.table.Store(queue.NewTable(2, []queue.Queue{moved}, []queue.Pool{{Name: pool, IsStandby: true}, {Name: otherPool}}))
+	ste.off.Store(true)
+	for _, hst := range ste.fleet.Hosts() {
+		if hst.Pool == pool {
+			ste.fleet.Reboot(time.Now(), hst.ID) // what ran there has ended
+			ste.fleet.Cut(hst.ID, true)
+		}
+	}
+	ste.awaitTable()
+	for num, pln := range plans {
+		ste.awaitIn(moved, ste.entries[num%2], pln.ID)
+	}
+	ste.stop()
+	ste.entries = nil
+	restarted := ste.startEntry(entryMilliCores)
+	ste.awaitTable()
+	for _, pln := range plans {
+		ste.awaitIn(moved, restarted, pln.ID)
+	}
+	if count, err := restarted.Gateway().Queued(t.Context(), ste.queueAt(moved)); count != 0 || err != nil {
+		t.Errorf("%d jobs wait (%v), want none", count, err)
+	}
+	ste.stop()
+	ste.checkInvariants()
+}
+
 // queueAt returns the queue as the configuration in force has it.
 func (ste *site) queueAt(que queue.Queue) queue.Queue {
 	found, _, ok := ste.table.Load().Match(que.Host, que.Prefix)
