Expect the longest lease of runs that a VM has not reported

Cause: the end of a lease is a time on the VM's clock.

Leases of runs that were not reported, of VMs that have just restarted and of those that a new owner waits for count as the longest that VMs grant.

--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -51,7 +51,8 @@
 	Pool            string
 	Partition       int // partition of the jobs topic
 	Address         string
-	MaxLease        time.Duration
+	MaxLease        time.Duration // of the leases that the owner asks for
+	LongestLease    time.Duration // that VMs grant
 	StatusRetention time.Duration
 	MaxRecord       int // longest record that the state log accepts, in bytes
 	StateLog        statelog.Client
@@ -136,7 +137,7 @@
 	own.appendTime = cfg.Metrics.GetOrCreateHistogram(`daisywheel_append_seconds{pool="` + cfg.Pool + `"}`)
 	own.orderTime = cfg.Metrics.GetOrCreateHistogram(`daisywheel_order_seconds{pool="` + cfg.Pool + `"}`)
 	own.sch = poolscheduler.New(poolscheduler.Config{
-		Name: cfg.Pool, FencingToken: clm.FencingToken(), RunNumberBase: clm.RunNumberBase(), MaxLease: cfg.MaxLease, StatusRetention: cfg.StatusRetention,
+		Name: cfg.Pool, FencingToken: clm.FencingToken(), RunNumberBase: clm.RunNumberBase(), MaxLease: cfg.MaxLease, LongestLease: cfg.LongestLease, StatusRetention: cfg.StatusRetention,
 		IsFirstTerm: clm.Term() == 1, Event: own.event,
 	})
 	own.sch.SetTable(cfg.Table)
--- a/internal/schedule/owner/owner_test.go
+++ b/internal/schedule/owner/owner_test.go
@@ -31,7 +31,9 @@
 const (
 	pool     = "gate"
 	maxLease = 6 * time.Second
-	runTime  = 600 * time.Millisecond
+	// longestLease is the longest lease that VMs grant.
+	longestLease = 10 * time.Second
+	runTime      = 600 * time.Millisecond
 
 	longRunningID = "00000000000000ff"
 )
@@ -48,6 +50,7 @@
 	// suspended is the time for which the owners' machines were suspended.
 	suspended atomic.Int64 // nanoseconds
 	maxRecord int
+	runTime   time.Duration // of all tasks but long-running ones
 }
 
 func newFixture(t *testing.T, vms int, cfg logstore.Config) *fixture {
@@ -60,19 +63,20 @@
 			Capacity: plan.Demand{MilliCores: 4000, MemoryMB: 8000}, Labels: []string{"a", fmt.Sprintf("r%d", i/2)},
 		})
 	}
-	flt := vmfleet.New(time.Now(), vmfleet.Config{
-		Latency: time.Millisecond,
-		Demand:  func(task.ID) plan.Demand { return plan.Demand{MilliCores: 1000, MemoryMB: 100} },
+	fxt := &fixture{t: t, store: logstore.New(cfg), begun: time.Now(), maxRecord: cfg.MaxRecord, runTime: runTime}
+	fxt.fleet = vmfleet.New(time.Now(), vmfleet.Config{
+		Latency: time.Millisecond, MaxLease: longestLease,
+		Demand: func(task.ID) plan.Demand { return plan.Demand{MilliCores: 1000, MemoryMB: 100} },
 		RunTime: func(tid task.ID) time.Duration {
 			if tid.Job == longRunningID {
 				return time.Hour
 			}
-			return runTime
+			return fxt.runTime
 		},
 	}, hosts)
-	tab := queue.NewTable(1, []queue.Queue{{Name: "passes", Pool: pool, MaxAttempts: 3, DeadlineFactor: 1.6, LatencyGoal: time.Second}},
+	fxt.table = queue.NewTable(1, []queue.Queue{{Name: "passes", Pool: pool, MaxAttempts: 3, DeadlineFactor: 1.6, LatencyGoal: time.Second}},
 		[]queue.Pool{{Name: pool}})
-	return &fixture{t: t, store: logstore.New(cfg), fleet: flt, table: tab, begun: time.Now(), maxRecord: cfg.MaxRecord}
+	return fxt
 }
 
 func (fxt *fixture) open() *owner.Owner {
@@ -84,7 +88,7 @@
 	fxt.t.Helper()
 	own, err := owner.Open(fxt.t.Context(), time.Now(), owner.Config{
 		RequestReport: func() {}, SinceBoot: func() time.Duration { return time.Since(fxt.begun) + time.Duration(fxt.suspended.Load()) },
-		Pool: pool, Address: "peer", MaxLease: maxLease, StatusRetention: time.Minute, MaxRecord: fxt.maxRecord, StateLog: log, PoolIndex: poolindex.New(poolindex.Config{StateLog: log, Journal: journal.New(journal.Config{})}),
+		Pool: pool, Address: "peer", MaxLease: maxLease, LongestLease: longestLease, StatusRetention: time.Minute, MaxRecord: fxt.maxRecord, StateLog: log, PoolIndex: poolindex.New(poolindex.Config{StateLog: log, Journal: journal.New(journal.Config{})}),
 		Agent: agt, Journal: journal.New(journal.Config{}), Metrics: metrics.NewSet(), Table: fxt.table,
 	})
 	if err != nil {
--- a/internal/schedule/poolscheduler/poolscheduler.go
+++ b/internal/schedule/poolscheduler/poolscheduler.go
@@ -45,10 +45,13 @@
 
 // Config holds the settings of a Scheduler.
 type Config struct {
-	Name            string // of the pool
-	FencingToken    int64  // fencing token of the term
-	RunNumberBase   int    // the runs of this term get higher numbers
-	MaxLease        time.Duration
+	Name          string        // of the pool
+	FencingToken  int64         // fencing token of the term
+	RunNumberBase int           // the runs of this term get higher numbers
+	MaxLease      time.Duration // of the leases that this owner asks for
+	// LongestLease is the longest lease that a VM grants, MaxLease if it is zero. A VM that has
+	// restarted has a new clock, on which the end that an owner asks for lies far ahead.
+	LongestLease    time.Duration
 	StatusRetention time.Duration
 	IsFirstTerm     bool // there was no earlier owner
 	// Event records an event.
@@ -94,6 +97,7 @@
 
 // New returns a Scheduler without jobs and VMs for the start of an owner's term.
 func New(cfg Config) *Scheduler {
+	cfg.LongestLease = max(cfg.LongestLease, cfg.MaxLease)
 	return &Scheduler{
 		cfg: cfg, allReconciled: cfg.IsFirstTerm,
 		vms: map[string]*vmState{}, jobs: map[string]*jobState{}, timedJobs: map[string]*jobState{},
--- a/internal/schedule/poolscheduler/report.go
+++ b/internal/schedule/poolscheduler/report.go
@@ -56,14 +56,9 @@
 		isLeaseExpired := now.After(vst.leaseEnd) && sch.confirmedAt.After(vst.leaseEnd)
 		// The reports of a VM that answers show what has ended there, and how.
 		if isLeaseExpired && vst.isUnresponsive && len(vst.tasks)+len(vst.unwantedRuns) > 0 {
-			sch.cfg.Event(now, "vmLapsed", slog.String("vm", id), slog.Int("tasks", len(vst.tasks)),
-				slog.Duration("silent", now.Sub(vst.lastReportAt)))
-			for _, tst := range vst.tasks {
-				sch.requeueTask(tst)
-			}
-			vst.dropUnwantedRuns()
+			sch.handleLapse(now, vst)
 		}
-		if isLeaseExpired && !vst.isListed && now.Sub(vst.lastReportAt) > leaseBound(sch.cfg.MaxLease) {
+		if isLeaseExpired && len(vst.tasks) == 0 && !vst.isListed && now.Sub(vst.lastReportAt) > leaseBound(sch.cfg.MaxLease) {
 			sch.dropVM(vst)
 			sch.cfg.Event(now, "vmGone", slog.String("vm", id))
 		}
@@ -74,6 +69,26 @@
 	}
 }
 
+// handleLapse handles the expiry of a VM's leases. Runs that it has not reported may be on a new
+// incarnation, whose leases last longer.
+func (sch *Scheduler) handleLapse(now time.Time, vst *vmState) {
+	lapsed := 0
+	for _, tst := range vst.tasks {
+		if tst.incarnation == 0 {
+			if end := tst.startSentAt.Add(leaseBound(sch.cfg.LongestLease)); !now.After(end) || !sch.confirmedAt.After(end) {
+				continue
+			}
+		}
+		lapsed++
+		sch.requeueTask(tst)
+	}
+	if lapsed+len(vst.unwantedRuns) > 0 {
+		sch.cfg.Event(now, "vmLapsed", slog.String("vm", vst.host.ID), slog.Int("tasks", lapsed), slog.Int("left", len(vst.tasks)),
+			slog.Duration("silent", now.Sub(vst.lastReportAt)))
+	}
+	vst.dropUnwantedRuns()
+}
+
 // DropEndedJobs drops the jobs that ended longer ago than twice the status retention, and
 // returns their ids.
 func (sch *Scheduler) DropEndedJobs(now time.Time) []string {
@@ -124,7 +139,7 @@
 			vst.firstReportAt = now // a VM that an earlier owner used has not just joined the pool
 		}
 		vst.hasReported, vst.heldAt = true, now
-		vst.leaseEnd = laterOf(vst.leaseEnd, now.Add(leaseBound(sch.cfg.MaxLease)))
+		vst.leaseEnd = laterOf(vst.leaseEnd, now.Add(leaseBound(sch.cfg.LongestLease))) // an earlier owner may have asked for it
 		sch.cfg.Event(now, "vmHeld", slog.String("vm", id), slog.Int64("fence", sch.cfg.FencingToken),
 			slog.Int("active", len(rpt.Active)), slog.Int("ended", len(rpt.Ended)))
 	}
--- a/internal/schedule/poolscheduler/vm.go
+++ b/internal/schedule/poolscheduler/vm.go
@@ -111,7 +111,7 @@
 func (sch *Scheduler) RestoreVM(now time.Time, hst host.Host) {
 	vst := newVMState(hst)
 	vst.isUnreconciled, vst.isStored = true, true
-	vst.leaseEnd = now.Add(OwnerGracePeriod + leaseBound(sch.cfg.MaxLease))
+	vst.leaseEnd = now.Add(OwnerGracePeriod + leaseBound(sch.cfg.LongestLease))
 	sch.addVM(vst)
 }
 
@@ -124,6 +124,7 @@
 	undecided := 0
 	ended := vst.incarnation
 	vst.restartedAt = now
+	vst.leaseEnd = laterOf(vst.leaseEnd, now.Add(leaseBound(sch.cfg.LongestLease)))
 	vst.incarnation, vst.hasReported, vst.isUnreconciled = incarnation, false, false
 	vst.lastEndSeen, vst.lastEndStored, vst.firstHeldEnd, vst.unreadableRuns = 0, 0, 0, 0
 	vst.dropUnwantedRuns()
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -469,7 +469,7 @@
 		return
 	}
 	own, err := owner.Open(ctx, time.Now(), owner.Config{
-		Pool: pool, Partition: group.PartitionOf(pool, svc.cfg.Partitions), Address: svc.cfg.PeerAddress, MaxLease: min(svc.cfg.MaxLease, leaseDuration),
+		Pool: pool, Partition: group.PartitionOf(pool, svc.cfg.Partitions), Address: svc.cfg.PeerAddress, MaxLease: min(svc.cfg.MaxLease, leaseDuration), LongestLease: svc.cfg.MaxLease,
 		StatusRetention: svc.cfg.StatusRetention, MaxRecord: svc.cfg.MaxRecord, StateLog: svc.cfg.StateLog, PoolIndex: svc.poolIndex, Agent: svc.cfg.Agent, Journal: svc.cfg.Journal,
 		Metrics: svc.cfg.Metrics, Table: tab, RequestReport: svc.requestReport, HandOver: svc.gateway.HandOver,
 	})
--- a/internal/standin/vmfleet/vmfleet.go
+++ b/internal/standin/vmfleet/vmfleet.go
@@ -30,6 +30,8 @@
 	// part of a start order.
 	Demand  func(tid task.ID) plan.Demand
 	RunTime func(tid task.ID) time.Duration
+	// MaxLease is the longest lease that a VM grants; 0: any.
+	MaxLease time.Duration
 	// IsFailing reports whether a run fails. If it is nil, no run fails.
 	IsFailing func(vm string, tid task.ID, run int) bool
 }
@@ -224,7 +226,7 @@
 	if ord.Run <= vmo.highestRun[ord.Task] {
 		return agent.Stale
 	}
-	vmo.leaseUntil = max(vmo.leaseUntil, ord.Until)
+	vmo.extendLease(now, flt, ord.Until)
 	vmo.highestRun[ord.Task] = ord.Run
 	if cur := vmo.runs[ord.Task]; cur == nil || cur.number != ord.Run {
 		flt.starts++
@@ -261,6 +263,14 @@
 	vmo.changed = make(chan struct{})
 }
 
+// extendLease extends the leases of all runs to a time on the VM's clock, as far as the VM allows.
+func (vmo *vm) extendLease(now time.Time, flt *Fleet, until time.Duration) {
+	if flt.cfg.MaxLease > 0 {
+		until = min(until, vmo.clock(now)+flt.cfg.MaxLease)
+	}
+	vmo.leaseUntil = max(vmo.leaseUntil, until)
+}
+
 func (vmo *vm) clock(now time.Time) time.Duration { return now.Sub(vmo.startedAt) }
 
 // advance ends the runs whose run time is over, and all runs once the lease has
@@ -336,7 +346,7 @@
 			return agent.Report{}, agent.Fenced, errors.New("stand-in: a later fencing token has been used")
 		}
 		vmo.fencingToken = tgt.FencingToken
-		vmo.leaseUntil = max(vmo.leaseUntil, poll.Until)
+		vmo.extendLease(now, flt, poll.Until)
 		flt.acknowledge(vmo, poll.Acked)
 		if len(vmo.unackedEnds) > 0 || !now.Before(deadline) {
 			rpt := vmo.report(now, flt.maxEnds)
