--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -53,6 +53,8 @@
 	MilliCores int64
 	IsUp       bool
 	IsOff      bool // the machine does not run
+	// IsUnreadable is set if the list has an entry that can't be read. Its name may be empty.
+	IsUnreadable bool
 }
 
 // OrderOutcome is the outcome of an order for a machine.
--- a/internal/schedule/fleetcontroller/fleetcontroller_test.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller_test.go
@@ -56,8 +56,10 @@
 	listDelay time.Duration
 	// isHidden, if set, tells which machines a list leaves out.
 	isHidden func(machine string) bool
-	lists    int // number of lists read
-	reports  []waveReport
+	// isUnreadable, if set, tells which entries of a list can't be read, not even their names.
+	isUnreadable func(machine string) bool
+	lists        int // number of lists read
+	reports      []waveReport
 	// lastReport is the newest one; the platform refuses those of earlier terms and takes each once.
 	lastReport directory.WaveReport
 }
@@ -95,6 +97,10 @@
 		if plt.isHidden != nil && plt.isHidden(name) {
 			continue
 		}
+		if plt.isUnreadable != nil && plt.isUnreadable(name) {
+			all = append(all, directory.Machine{IsUnreadable: true})
+			continue
+		}
 		mac := directory.Machine{Name: name, Pool: pool, MilliCores: 16000}
 		if mac.IsUp = !time.Now().Before(plt.upAt[name]); mac.IsUp {
 			mac.VM = plt.vm(name)
--- a/internal/schedule/fleetcontroller/machines.go
+++ b/internal/schedule/fleetcontroller/machines.go
@@ -57,12 +57,21 @@
 	defer ctl.mu.Unlock()
 	ctl.listedAt = now
 	clear(ctl.machines)
+	unreadable := 0
 	for _, mac := range all {
-		ctl.machines[mac.Name] = mac
+		if mac.IsUnreadable {
+			unreadable++
+			ctl.cfg.Journal.Warn(now, "machineUnreadable", slog.String("machine", mac.Name))
+		}
+		if mac.Name != "" {
+			ctl.machines[mac.Name] = mac
+		}
+	}
+	if unreadable == 0 { // else any machine or VM may be the one that can't be read
+		ctl.countMissingVMs()
+		ctl.countAbsences(now)
 	}
-	ctl.countMissingVMs()
-	ctl.countAbsences(now)
-	ctl.completeOperations(time.Now(), now)
+	ctl.completeOperations(time.Now(), now, unreadable == 0)
 }
 
 // idleListInterval is the time between machine lists while nothing is in progress.
--- a/internal/schedule/fleetcontroller/operation.go
+++ b/internal/schedule/fleetcontroller/operation.go
@@ -27,15 +27,16 @@
 }
 
 // completeOperations finishes the operations of machines that are up again according
-// to the machine list, which was requested at requestedAt, or gone for good.
-func (ctl *Controller) completeOperations(now, requestedAt time.Time) {
+// to the machine list, which was requested at requestedAt, or gone for good. A list that is not
+// complete shows of no machine that it is gone.
+func (ctl *Controller) completeOperations(now, requestedAt time.Time, isComplete bool) {
 	for name, opr := range ctl.operations {
 		mac, ok := ctl.machines[name]
 		isUp := ok && mac.IsUp && mac.VM != ""
 		isNew := isUp && mac.VM != opr.vm
 		if ok {
 			opr.absence = absence{}
-		} else {
+		} else if isComplete {
 			opr.absence = opr.absence.next(requestedAt)
 		}
 		switch {
--- a/internal/schedule/fleetcontroller/wave_test.go
+++ b/internal/schedule/fleetcontroller/wave_test.go
@@ -440,3 +440,34 @@
 		}
 	})
 }
+
+// An entry of the list of machines that can't be read is of a machine that is there: its VM has not
+// ended, and a wave is not completed without it.
+func TestUnreadableMachineIsNotGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, plt, began := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul"), time.Now()
+		plt.isUnreadable = func(machine string) bool { return machine == "haul-7" && time.Since(began) < 12*time.Second }
+		ctl := openController(t, log, plt, "first")
+		plt.runFor(ctl, 0, time.Second)
+		ctl.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: []string{"gate-0", "haul-7"}, Cap: 2, Within: time.Minute})
+		for time.Since(began) < 10*time.Second {
+			plt.runFor(ctl, 0, 200*time.Millisecond)
+			rpt := plt.poolReport("haul", 0)
+			for i := range rpt.VMs {
+				rpt.VMs[i].IsUnresponsive = strings.Contains(rpt.VMs[i].ID, "haul-7")
+			}
+			if _, ended := ctl.HandleReport(time.Now(), rpt); len(ended) != 0 {
+				t.Fatalf("VMs %v are said to have ended after %s", ended, time.Since(began))
+			}
+		}
+		plt.runFor(ctl, 0, 15*time.Second)
+		ctl.Close()
+		ordered, completed := plt.firstOrderAt("haul-7"), plt.completedAt()
+		if ordered.IsZero() || completed.Before(ordered) {
+			t.Errorf("wave reported as completed after %s, maintenance of haul-7 begun after %s", completed.Sub(began), ordered.Sub(began))
+		}
+		if first := plt.firstOrderAt("gate-0"); first.IsZero() || first.Sub(began) > 5*time.Second {
+			t.Errorf("the maintenance of a machine that can be read begins after %s", first.Sub(began))
+		}
+	})
+}
