Log what an owner knows of a step when it moves one of its tasks

The line taskMoved names those that it does not know to be at work, and why, and the age of the VM's last report.

--- a/internal/schedule/poolscheduler/evacuating_test.go
+++ b/internal/schedule/poolscheduler/evacuating_test.go
@@ -23,7 +23,7 @@
 // A pool that has lent its VMs may have no other VM for a long-running task. The task must be
 // stopped all the same, or the maintenance wave never ends.
 func TestLongRunningTaskIsStoppedWithoutAnotherVM(t *testing.T) {
-	sch, _ := newScheduler(true)
+	sch, events := newScheduler(true)
 	addVMs(start, sch, vm("a", 1), vm("b", 1))
 	stp := step(2, 100)
 	stp.IsLongRunning, stp.MaxPerVM, stp.MaxUnavailable = true, 1, 1
@@ -38,6 +38,9 @@
 	if len(orders) != 1 || orders[0].Kind != poolscheduler.StopTask {
 		t.Errorf("orders %+v, want one stop, as only one task may be unavailable", orders)
 	}
+	if events["taskMoved"] != len(orders) {
+		t.Errorf("%d stops are logged, want all", events["taskMoved"])
+	}
 }
 
 // In a wave of 254 machines, of which 98 may be down, further VMs are to be evacuated all
--- a/internal/schedule/poolscheduler/pool.go
+++ b/internal/schedule/poolscheduler/pool.go
@@ -128,6 +128,7 @@
 				continue
 			}
 			if sch.isMovable(now, tst) {
+				sch.logMove(now, tst)
 				sch.stopTask(tst)
 				continue
 			}
@@ -174,10 +175,42 @@
 	return tst.isAdopted && tst.vm.lastReportAt.Sub(tst.vm.heldAt) < stopGracePeriod
 }
 
-// isAvailable reports whether the task is known to be at work. The last report of a VM
-// that does not answer any more is no evidence of that.
-func (tst *taskState) isAvailable() bool {
-	return tst.phase == running && !tst.mayBeStopping() && tst.percentDone >= fullPercent && !tst.vm.isUnresponsive && !tst.vm.isLate
+// isAvailable reports whether the task is known to be at work.
+func (tst *taskState) isAvailable() bool { return tst.unavailability() == "" }
+
+// unavailability returns why the task is not known to be at work, or "". The last report of a VM
+// that does not answer any more is no evidence of that it is.
+func (tst *taskState) unavailability() string {
+	switch {
+	case tst.phase != running:
+		return tst.phase.String()
+	case tst.mayBeStopping():
+		return "mayBeStopping"
+	case tst.percentDone < fullPercent:
+		return "startingUp"
+	case tst.vm.isUnresponsive:
+		return "vmUnresponsive"
+	case tst.vm.isLate:
+		return "vmLate"
+	}
+	return ""
+}
+
+// maxLoggedTasks bounds the tasks that a log line names.
+const maxLoggedTasks = 5
+
+// logMove logs that a long-running task is stopped because its VM is to be evacuated, with what
+// the owner knows of the step's other tasks.
+func (sch *Scheduler) logMove(now time.Time, tst *taskState) {
+	var away []string
+	for i := range tst.step.tasks {
+		other := &tst.step.tasks[i]
+		if why := other.unavailability(); other != tst && why != "" && len(away) < maxLoggedTasks {
+			away = append(away, other.id.String()+" "+why)
+		}
+	}
+	sch.cfg.Event(now, "taskMoved", slog.String("task", tst.id.String()), slog.Int("run", tst.run), slog.String("vm", tst.vm.host.ID),
+		slog.Duration("reported", now.Sub(tst.vm.lastReportAt)), slog.Bool("adopted", tst.isAdopted), slog.Int("mayBeAway", tst.step.plan.MaxUnavailable), slog.Any("away", away))
 }
 
 // evacuationLogDelay is how long an evacuation may take before its delay is logged.
--- a/internal/schedule/poolscheduler/state.go
+++ b/internal/schedule/poolscheduler/state.go
@@ -23,6 +23,11 @@
 	done
 )
 
+// String returns the name used in log lines.
+func (phs phase) String() string {
+	return [...]string{"waiting", "starting", "running", "stopping", "unconfirmed", "done"}[phs]
+}
+
 // taskState is the state of one task and its current or last run.
 type taskState struct {
 	step                 *stepState
