--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -84,7 +84,7 @@
 	pending      map[string]*submission
 	queued       []*submission        // not yet in a batch
 	handovers    map[string]*handover // by job
-	hasVMList    bool
+	hasVMList    bool                 // the list of the pool's VMs has been read in this term
 	refusals     *refusal.Refusals
 	waiters      []chan struct{} // each is closed when the next batch is stored
 	// appendTime and orderTime are histograms of call durations in seconds.
@@ -235,6 +235,10 @@
 		delete(progress, id)
 	}
 	for id, prg := range progress {
+		if !prg.State.IsEnded() && !own.sch.IsUnreadable(id) {
+			unreadable++
+			own.cfg.Journal.Warn(now, "recordUnreadable", slog.String("key", progressKey(own.cfg.Pool, id)), slog.String("error", "no submission"))
+		}
 		own.sch.RestoreJob(now, id, nil, prg)
 	}
 	own.event(now, "jobsRestored", slog.Int("open", len(jobs)), slog.Int("ended", len(progress)), slog.Int("unreadable", unreadable))
