--- a/internal/schedule/poolscheduler/cutreport_test.go
+++ b/internal/schedule/poolscheduler/cutreport_test.go
@@ -56,15 +56,21 @@
 	}
 }
 
-// A new owner took a VM for reconciled whose first report lacked ends of tasks of the former
-// owner.
-func TestInheritedTasksWaitForCompleteReport(t *testing.T) {
+// newInheritor returns a scheduler with a VM and a job of an earlier owner.
+func newInheritor() *poolscheduler.Scheduler {
 	sch, _ := newScheduler(false)
 	sch.RestoreVM(start, vm("a", 1))
 	job := jobrecord.Job{Queue: "q", FirstAttempt: start, Plan: &plan.Plan{ID: jobID, Steps: []plan.Step{step(1, 1000)}}}
 	sch.RestoreJob(start, jobID, &job, jobrecord.Progress{})
 	sch.SetListedVMs(start, []host.Host{vm("a", 1)})
 	sch.CommitBatch(sch.TakeBatch())
+	return sch
+}
+
+// A new owner took a VM for reconciled whose first report lacked ends of tasks of the former
+// owner.
+func TestInheritedTasksWaitForCompleteReport(t *testing.T) {
+	sch := newInheritor()
 	report := func(at time.Time, isCut bool) []poolscheduler.Order {
 		sch.NextPoll(at, "a")
 		sch.HandleReport(at, at, "a", agent.Report{Incarnation: 1, IsCut: isCut})
@@ -114,12 +120,7 @@
 // A new owner was paused until the leases of its predecessor had expired, and took a VM that had
 // listed some of its ends for reconciled.
 func TestInheritedTasksWaitForAnAnsweringVMPastTheLeases(t *testing.T) {
-	sch, _ := newScheduler(false)
-	sch.RestoreVM(start, vm("a", 1))
-	job := jobrecord.Job{Queue: "q", FirstAttempt: start, Plan: &plan.Plan{ID: jobID, Steps: []plan.Step{step(1, 1000)}}}
-	sch.RestoreJob(start, jobID, &job, jobrecord.Progress{})
-	sch.SetListedVMs(start, []host.Host{vm("a", 1)})
-	sch.CommitBatch(sch.TakeBatch())
+	sch := newInheritor()
 	sch.HandleReport(start, start, "a", agent.Report{Incarnation: 1, IsCut: true})
 	now := start.Add(time.Minute)
 	sch.Plan(now)
