Wait for the report of a VM that refuses a start as stale

A task could start on a second VM while a run of it was active on the first, or had completed there.

Cause: a VM refuses a start as stale if a run with a higher number was stopped or has ended there. The owner, whose own numbers only rise, started the task elsewhere at once, though the refusal says that there is a run that it does not know of.

The start counts as one without an answer: the VM's next report shows the unknown run, or else the task starts again.

TestTaskOfARunThatTheOwnerDoesNotKnowWaitsForTheReport fails before: "it is active: 1 starts before the VM has reported".

--- a/internal/schedule/poolscheduler/place.go
+++ b/internal/schedule/poolscheduler/place.go
@@ -261,6 +261,12 @@
 	case agent.Unknown:
 		tst.isStartUnknown = true
 		return
+	case agent.Stale:
+		// The VM has had a run of the task that this owner does not know of. Its next report
+		// shows that run, or else the task starts again, elsewhere if possible.
+		tst.isStartUnknown, tst.avoidVM = true, vst.host.ID
+		sch.cfg.Event(now, "startStale", slog.String("task", tst.id.String()), slog.String("vm", vst.host.ID), slog.Int("run", ord.Run))
+		return
 	case agent.Unreachable:
 		vst.isUnresponsive = true
 	case agent.Unhealthy:
