Acknowledge ends that change nothing without waiting for other changes

Cause: ends are acknowledged with the batch that stores their effect, and a batch was made only when there was something to store. Ends of stopped runs and of jobs that have ended waited for another change. With more of them than a VM lists, nothing else of it was seen, so that no other change came.

--- a/internal/schedule/poolscheduler/record.go
+++ b/internal/schedule/poolscheduler/record.go
@@ -110,9 +110,18 @@
 // HasUrgentChanges reports whether a change is to be stored that callers or tasks wait for.
 func (sch *Scheduler) HasUrgentChanges() bool { return sch.isUrgent }
 
-// HasChanges reports whether there are changes to store.
+// HasChanges reports whether there are changes to store, or ends of runs to acknowledge. Ends that
+// change nothing, as of stopped runs, have to be acknowledged too.
 func (sch *Scheduler) HasChanges() bool {
-	return len(sch.dirtyJobs)+len(sch.vmRecordsToWrite)+len(sch.vmRecordsToDelete) > 0
+	if len(sch.dirtyJobs)+len(sch.vmRecordsToWrite)+len(sch.vmRecordsToDelete) > 0 {
+		return true
+	}
+	for _, vst := range sch.vms {
+		if vst.lastEndStored < vst.lastStorableEnd() {
+			return true
+		}
+	}
+	return false
 }
 
 func newJobUpdate(jst *jobState) JobUpdate {
--- a/internal/standin/vmfleet/vmfleet.go
+++ b/internal/standin/vmfleet/vmfleet.go
@@ -114,6 +114,13 @@
 	return len(flt.vms[id].runs)
 }
 
+// CountUnacknowledged returns the number of ends on the VM that are not acknowledged.
+func (flt *Fleet) CountUnacknowledged(id string) int {
+	flt.mu.Lock()
+	defer flt.mu.Unlock()
+	return len(flt.vms[id].unackedEnds)
+}
+
 // Cut sets whether calls to the VM get no answer.
 func (flt *Fleet) Cut(id string, isCut bool) {
 	flt.mu.Lock()
