Allow the stand-in of VMs orders sent before a lapsed VM answers

The trace: vm-2 is silent from 5.4 s; the run there completes; the leases of 5 s expire; at 11.1 s the owner takes them for expired; at 12.73 s it orders the second start; vm-2 has not answered by then. RULES.md excepts this from TWICE: an end is taken note of when it is acknowledged, "unless the runner's lease lapsed between the two".

The check noticed it only when another start made the stand-in look at vm-2 in time. Starts after an acknowledged end count as before.

--- a/internal/standin/vmfleet/vmfleet.go
+++ b/internal/standin/vmfleet/vmfleet.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -57,12 +58,16 @@
 	unackedEnds  []agent.End
 	endCount     int64
 	endedAt      map[int64]time.Time // of unackedEnds, by number
+	lapses       []lapse
 	highestRun   map[task.ID]int
 	isCut        bool          // calls get no answer
 	startDelay   time.Duration // starts are carried out after it, without an answer; 0: at once
 	changed      chan struct{} // closed and replaced when an order starts or ends a run
 }
 
+// lapse is an expiry of the leases of a VM, and when the VM answered a poll afterwards.
+type lapse struct{ at, answeredAt time.Time }
+
 type run struct {
 	number int
 	endsAt time.Time
@@ -353,6 +358,7 @@
 			return agent.Report{}, agent.Fenced, errors.New("stand-in: a later fencing token has been used")
 		}
 		vmo.fencingToken = tgt.FencingToken
+		vmo.noteLapse(now)
 		vmo.extendLease(now, flt, poll.Until)
 		flt.acknowledge(vmo, poll.Acked)
 		if len(vmo.unackedEnds) > 0 || !now.Before(deadline) {
@@ -385,7 +391,7 @@
 		end := vmo.unackedEnds[0]
 		if end.Reason == agent.EndedDone {
 			flt.completedOn[end.Task] = vmo.host.ID
-			if flt.startedAt[end.Task].After(vmo.endedAt[end.Number]) {
+			if started := flt.startedAt[end.Task]; started.After(vmo.endedAt[end.Number]) && !vmo.hadLapsed(started) {
 				flt.violations = append(flt.violations, fmt.Sprintf("task %s has started again after it completed on %s, which is acknowledged", end.Task, vmo.host.ID))
 			}
 		}
@@ -394,6 +400,24 @@
 	}
 }
 
+// onTheWay is how long a start order may be on its way.
+const onTheWay = 20 * time.Millisecond
+
+// hadLapsed reports whether a start elsewhere was ordered after the VM's leases had expired and
+// before the VM answered again. Its sender could not know which runs had completed before.
+func (vmo *vm) hadLapsed(started time.Time) bool {
+	return slices.ContainsFunc(vmo.lapses, func(lps lapse) bool {
+		return started.After(lps.at) && started.Before(lps.answeredAt.Add(onTheWay))
+	})
+}
+
+// noteLapse notes that the VM answers a poll after its leases have expired.
+func (vmo *vm) noteLapse(now time.Time) {
+	if end := vmo.startedAt.Add(vmo.leaseUntil); vmo.leaseUntil > 0 && now.After(end) {
+		vmo.lapses = append(vmo.lapses, lapse{end, now})
+	}
+}
+
 func (vmo *vm) report(now time.Time, maxEnds int) agent.Report {
 	listed := vmo.unackedEnds[:min(len(vmo.unackedEnds), maxEnds)]
 	rpt := agent.Report{
