Ask the present pool again before a cancel finds no job

A caller who cancelled a job while it was handed over could be told that there is no such job, which then ran on.

Cause: the present pool was asked before the job had come, the former one after it had left. A question for the state asks the present pool again, a cancel did not.

TestJobIsFoundDuringItsHandover fails before: "cancel: found false (<nil>)".

--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -340,6 +340,11 @@
 			return found, err
 		}
 	}
+	if len(pools) > 0 { // it may have been handed over meanwhile
+		if found, err = gtw.cancelIn(ctx, now, newRequest(que.Pool, que, id)); found || err != nil {
+			return found, err
+		}
+	}
 	return false, unread
 }
 
--- a/internal/schedule/gateway/gateway_test.go
+++ b/internal/schedule/gateway/gateway_test.go
@@ -274,3 +274,43 @@
 		t.Errorf("state once the index can be read: found %v (%v)", found, err)
 	}
 }
+
+// A job is handed over from a former pool of its queue to the present one between the questions to the
+// two. It must not be said to be unknown.
+func TestJobIsFoundDuringItsHandover(t *testing.T) {
+	log := logstore.New(logstore.Config{}).Client()
+	var asked atomic.Int64 // questions to the present pool
+	answer := func(_ context.Context, params json.RawMessage) (any, error) {
+		var req struct {
+			Pool string `json:"service"`
+		}
+		if err := json.Unmarshal(params, &req); err != nil {
+			return nil, err
+		}
+		isFound := req.Pool == "gate" && asked.Add(1) > 1
+		return map[string]any{"isFound": isFound, "state": jobrecord.Running}, nil
+	}
+	ept := startPeerWith(t, log, func(json.RawMessage) (any, error) { return map[string]any{}, nil })
+	ept.Handle("job.state", answer)
+	ept.Handle("job.cancel", answer)
+	address, err := claim.FindOwner(t.Context(), log, "gate")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := claim.Acquire(t.Context(), log, "old", address); err != nil {
+		t.Fatal(err)
+	}
+	que := queue.Queue{Name: "q", Host: "h", Prefix: "/q/", Pool: "gate", Version: 2}
+	if err := poolindex.New(poolindex.Config{StateLog: log, Journal: journal.New(journal.Config{})}).Record(t.Context(), que.Address(), "old"); err != nil {
+		t.Fatal(err)
+	}
+	gtw := newGateway(t, log, func() bool { return true })
+	gtw.SetTable(time.Now(), queue.NewTable(2, []queue.Queue{que}, []queue.Pool{{Name: "gate"}}))
+	if ste, found, err := gtw.State(t.Context(), que, "00000000000000d1"); !found || err != nil || ste != jobrecord.Running {
+		t.Errorf("state %s, found %v (%v), want running", ste, found, err)
+	}
+	asked.Store(0)
+	if found, err := gtw.Cancel(t.Context(), time.Now(), que, "00000000000000d1"); !found || err != nil {
+		t.Errorf("cancel: found %v (%v)", found, err)
+	}
+}
--- a/internal/schedule/service/formerpools.go
+++ b/internal/schedule/service/formerpools.go
@@ -23,8 +23,8 @@
 	_ = svc.poolIndex.Refresh(context.Background(), now, since) // it logs what fails, and the next check tries again
 }
 
-// formerPools returns the pools that have accepted jobs and are not active any more. They have an
-// owner until their jobs have ended, as their VMs may go on.
+// formerPools returns the pools that have accepted jobs and are not active any more. They have owners
+// too, as jobs of theirs may be left, and their VMs may go on.
 func (svc *Service) formerPools(tab *queue.Table) []string {
 	return slices.DeleteFunc(svc.poolIndex.PoolNames(), tab.IsActive)
 }
