--- a/internal/schedule/owner/handover_test.go
+++ b/internal/schedule/owner/handover_test.go
@@ -99,6 +99,13 @@
 	return hosts
 }
 
+// draw returns a number from 0 to count-1.
+func (ste *handoverSite) draw(count int) int {
+	ste.mu.Lock()
+	defer ste.mu.Unlock()
+	return ste.rnd.IntN(count)
+}
+
 // open opens an owner of the pool. An earlier one is closed, or goes on without being told.
 func (ste *handoverSite) open(name string) {
 	ste.t.Helper()
@@ -191,14 +198,15 @@
 			active := "mill"
 			ste.route(2, active)
 			for version := int64(3); version < 8; version++ {
-				for range 1 + ste.rnd.IntN(8) {
+				for range 1 + ste.draw(8) {
+					lossy := append(names, "", "")[ste.draw(len(names)+2)]
 					ste.mu.Lock()
-					ste.lossy = append(names, "", "")[ste.rnd.IntN(len(names)+2)]
+					ste.lossy = lossy
 					ste.mu.Unlock()
-					time.Sleep(time.Duration(ste.rnd.IntN(5000)) * time.Millisecond)
-					ste.open(names[ste.rnd.IntN(len(names))])
+					time.Sleep(time.Duration(ste.draw(5000)) * time.Millisecond)
+					ste.open(names[ste.draw(len(names))])
 				}
-				active = names[ste.rnd.IntN(len(names))]
+				active = names[ste.draw(len(names))]
 				ste.route(version, active)
 			}
 			ste.mu.Lock()
@@ -256,11 +264,11 @@
 		if _, err := log.Append(t.Context(), statelog.AppendRequest{Topic: "jobs", ExpectedEnd: statelog.AnyOffset, Records: []statelog.Record{{Key: pool + "/j/" + pln.ID, Value: data}}}); err != nil {
 			t.Fatal(err)
 		}
-		var left jobrecord.Handover
+		var passed atomic.Pointer[jobrecord.Handover]
 		own, err := owner.Open(t.Context(), time.Now(), owner.Config{
 			RequestReport: func() {}, SinceBoot: func() time.Duration { return time.Hour }, Pool: pool, Address: "peer", MaxLease: maxLease,
 			HandOver: func(_ context.Context, hnd jobrecord.Handover) error {
-				left = hnd
+				passed.Store(&hnd)
 				isDown.Store(true) // the record of the handover can't be removed
 				return nil
 			},
@@ -273,10 +281,11 @@
 		t.Cleanup(own.Close)
 		own.SetListedVMs(time.Now(), nil)
 		time.Sleep(2 * time.Second)
-		if left.To != "mill" || left.Job.From != pool {
+		left := passed.Load()
+		if left == nil || left.To != "mill" || left.Job.From != pool {
 			t.Fatalf("handover %+v, want one to mill", left)
 		}
-		back := left
+		back := *left
 		back.To, back.Previous, back.Job.From = pool, pool, "mill"
 		if err := own.Adopt(t.Context(), time.Now(), back); fault.CodeOf(err) != code.NotReady {
 			t.Errorf("the job returns before its handover is over: %v, want notReady", err)
