Move the drawn test of handovers into a package of its own

The new test has a process of its own now, which is run under the race detector too, on both kinds of machine.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	$(GO) test -timeout 5m -skip '$(SKIP)' $(TEST_FLAGS) ./...
 
 race:
-	$(GO) test -race -timeout 5m -skip '$(SKIP)' ./internal/request/... ./internal/state/... ./internal/kernel/... ./internal/event/... ./internal/schedule/... ./test/path ./test/history
+	$(GO) test -race -timeout 5m -skip '$(SKIP)' ./internal/request/... ./internal/state/... ./internal/kernel/... ./internal/event/... ./internal/schedule/... ./test/path ./test/history ./test/handovers
 
 lint:
 	test -z "$$(gofmt -l .)"
