--- a/internal/schedule/fleetcontroller/wave_test.go
+++ b/internal/schedule/fleetcontroller/wave_test.go
@@ -216,6 +216,7 @@
 		plt.runFor(first, 0, 2*time.Second)
 		first.Close()
 		plt.setBusy(nil)
+		plt.listDelay = 50 * time.Millisecond // the report below comes before the first list
 		second := openController(t, log, plt, "second")
 		second.RequestWave(time.Now(), wav)
 		if evacuating, _ := second.HandleReport(time.Now(), plt.poolReport("gate", 0)); len(evacuating) > 0 {
