Show that tasks of a job start after its cancelling was answered with 410

An entry that wakes from a freeze routes cancels by the configuration from before it, and says that there is no job.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -26,6 +26,7 @@
 	"holders": playHolders,
 	"moved":   playMoved,
 	"upkeep":  playUpkeep,
+	"frozen":  playFrozen,
 }
 
 func main() { os.Exit(playCase()) }
