--- a/review/standin2/frozen.go
+++ b/review/standin2/frozen.go
@@ -26,22 +26,9 @@
 		return nil, err
 	}
 	sit.configure(pools, route{"q-gate", "/gate/", "yard"}, route{"q-mail", "/mail/", "depot"})
-	if err := sit.awaitReady(); err != nil {
+	if err := sit.serveAll("/mail/", "/gate/"); err != nil {
 		return nil, err
 	}
-	for num, prefix := range []string{"/mail/", "/gate/"} {
-		path := jobPath(prefix, num+1)
-		if err := sit.submit(sit.entries[0], path, jobOf("work 300", map[string]any{"count": 1, "cpu": 500, "mem_mb": 256})); err != nil {
-			return nil, err
-		}
-		if err := sit.awaitState(sit.entries[0], path, "completed", 10*time.Second); err != nil {
-			return nil, err
-		}
-	}
-	for _, ent := range sit.entries { // all have served the queue
-		sit.call(ent, http.MethodGet, "/gate/", nil)
-	}
-	time.Sleep(contactTime + 4*time.Second)
 	frozen, other := sit.plainEntries()
 	if other == nil {
 		return nil, fmt.Errorf("fewer than two entries own nothing")
