--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -270,8 +270,8 @@
 // route is a queue of the configuration.
 type route struct{ name, prefix, pool string }
 
-// configure writes a configuration and returns the time of its acknowledgement.
-func (sit *site) configure(pools []string, routes ...route) time.Time {
+// configure writes a configuration.
+func (sit *site) configure(pools []string, routes ...route) {
 	rows, services := []any{}, []any{}
 	for _, rte := range routes {
 		rows = append(rows, map[string]any{
@@ -290,7 +290,6 @@
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	sit.rec.event("config", fmt.Sprintf("version %d acknowledged, routes %v", sit.version, routes))
-	return time.Now()
 }
 
 // requestWave writes a wave.
