--- a/review/standin2/cloud.go
+++ b/review/standin2/cloud.go
@@ -19,6 +19,7 @@
 	machines   []*machine
 	nextID     int
 	orders     []machineOrder
+	lists      int             // of machines since the last crash
 	isSilent   bool            // no call is carried out or answered
 	unanswered map[string]bool // machines whose orders got no answer
 	quit       chan struct{}
@@ -58,7 +59,7 @@
 
 // bringUp begins a new life of a machine. The caller holds the lock.
 func (cld *cloud) bringUp(mac *machine) error {
-	rnr, err := startRunner(cld.rec, fmt.Sprintf("i-%04d", cld.nextID), mac.pool, mac.zone)
+	rnr, err := startRunner(cld.rec, fmt.Sprintf("i-%04d", cld.nextID), mac.pool, mac.zone, "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
@@ -156,6 +157,7 @@
 func (cld *cloud) list(wrt http.ResponseWriter, _ *http.Request) {
 	cld.mu.Lock()
 	defer cld.mu.Unlock()
+	cld.lists++
 	rows := []any{}
 	for _, mac := range cld.machines {
 		row := map[string]any{
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -26,6 +26,7 @@
 	"moved":    playMoved,
 	"upkeep":   playUpkeep,
 	"returned": playReturned,
+	"ended":    playEnded,
 	"frozen":   playFrozen,
 }
 
--- a/review/standin2/runner.go
+++ b/review/standin2/runner.go
@@ -56,8 +56,8 @@
 }
 
 // startRunner starts a runner whose tasks do what their spec says: "work MS" or "last".
-func startRunner(rec *recorder, id, pool, zone string) (*runner, error) {
-	lsn, err := net.Listen("tcp", "127.0.0.1:0")
+func startRunner(rec *recorder, id, pool, zone, address string) (*runner, error) {
+	lsn, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -360,7 +360,7 @@
 }
 
 func await(limit time.Duration, what string, isDone func() bool) error {
-	for until := time.Now().Add(limit); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+	for until := time.Now().Add(limit); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
 		if isDone() {
 			return nil
 		}
