Wait until entries have settled before the disruptions of cases 6 to 9

In a play of case 6 that was traced, the entry read the index of pools once more after the queue had moved, as its read before had come 5 s after its start to the millisecond. Change: the cases wait 9 s instead of 6 or 7.

--- a/review/standin2/moved.go
+++ b/review/standin2/moved.go
@@ -29,7 +29,7 @@
 	if err := sit.awaitState(sit.entries[0], first, "completed", 10*time.Second); err != nil {
 		return nil, err
 	}
-	time.Sleep(contactTime + 3*time.Second)
+	time.Sleep(calmTime)
 	late := sit.ownerOf("yard")
 	var other *entry
 	for _, ent := range sit.entries {
--- a/review/standin2/returned.go
+++ b/review/standin2/returned.go
@@ -50,6 +50,10 @@
 	return rec.twice(), nil
 }
 
+// calmTime is how long a case waits before its disruption: entries count what they have read about the
+// pools of queues as settled from 5 s after their first configuration, at their next look.
+const calmTime = contactTime + 6*time.Second
+
 // serveAll lets each queue complete a job and each entry serve the queues, and returns when all entries
 // are calm.
 func (sit *site) serveAll(prefixes ...string) error {
@@ -68,6 +72,6 @@
 			sit.call(ent, http.MethodGet, prefix, nil)
 		}
 	}
-	time.Sleep(contactTime + 4*time.Second)
+	time.Sleep(calmTime)
 	return nil
 }
