--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target
-go build -o target/review-standin2 ./review/standin2
+go build -buildvcs=false -o target/review-standin2 ./review/standin2
--- a/review/standin2/upkeep.go
+++ b/review/standin2/upkeep.go
@@ -7,8 +7,8 @@
 )
 
 // playUpkeep lets the machine API give no answers while two machines of a wave are evacuated, and the
-// store be down after that. Meanwhile tasks that last fail and start again. It checks that the upkeep does not end
-// more tasks of their step at once than may be missed.
+// store be down after that. Meanwhile tasks that last fail and start again. It checks that the upkeep
+// does not end more tasks of their step at once than may be missed.
 func playUpkeep(rec *recorder, isTrouble bool) ([]string, error) {
 	const (
 		downTime  = 6300 * time.Millisecond // as in the site file
