Let the end of a VM hold only for the revision that was reported

The controller woke and answered the report from before the return: this VM has ended. The owner ended the incarnation that it knew by then, and started its tasks elsewhere while they ran.

Neither the report nor its answer said which life of the VM they were about. An owner now numbers what it knows of a VM, anew with each answer and each change of incarnation or address; a report and a poll carry the number, and Scheduler.EndIncarnation, the one place where an incarnation is ended, passes over an end that was asked for at another one. The fleet controller counts only lists that were requested after the first report of the revision. A reply is applied only to the owner whose report it answers.

Owners and controllers of earlier versions: TestReportRepliesBetweenVersions.

--- a/internal/event/timeline/explain.go
+++ b/internal/event/timeline/explain.go
@@ -16,7 +16,7 @@
 	"claimsRegained", "claimsUnread", "cellSettled", "configInForce", "linesLeftOut", "membershipRegained",
 	"membershipUnconfirmed", "operatorRegained", "operatorUnread", "ownerLost", "ownerNotAlive", "ownerNotOpened",
 	"ownerStarted", "ownerStopped", "poolState", "processStarted", "processStopping", "storeLost", "storeRegained",
-	"vmEnded", "vmLapsed", "vmLeaving", "vmListRegained", "vmListUnread", "vmQuarantined", "vmReborn", "vmRegained",
+	"vmEndIgnored", "vmEnded", "vmLapsed", "vmLeaving", "vmListRegained", "vmListUnread", "vmQuarantined", "vmReborn", "vmRegained",
 	"vmReplaced", "vmUnanswered",
 }
 
--- a/internal/fleet/balance/balance.go
+++ b/internal/fleet/balance/balance.go
@@ -34,6 +34,10 @@
 	IsUsable       bool
 	IsEvacuating   bool
 	IsUnresponsive bool // the VM does not answer its owner
+	// Revision numbers what the owner knows of the VM. It changes, and never returns, with each
+	// answer of the VM and with each change of its address or incarnation. 0 if the owner is of an
+	// earlier version of the program.
+	Revision int64
 }
 
 // Pool is a pool as its owner sees it.
--- a/internal/schedule/fleetcontroller/fleetcontroller.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller.go
@@ -106,7 +106,6 @@
 	mu              sync.Mutex
 	reports         map[string]report
 	arrivals        *arrivals.Arrivals
-	missingCounts   map[string]int               // consecutive lists without an unresponsive VM, by VM id
 	machines        map[string]directory.Machine // by name
 	listedAt        time.Time
 	operations      map[string]*operation // by machine
@@ -122,8 +121,9 @@
 }
 
 type report struct {
-	pool balance.Pool
-	at   time.Time
+	pool    balance.Pool
+	at      time.Time
+	missing map[string]missingVM // by id: the unresponsive VMs
 }
 
 // Open claims the fleet, restores the maintenance that has started and runs the
@@ -198,19 +198,21 @@
 }
 
 // HandleReport handles a report on the state of a pool. It returns the VMs that the pool should
-// evacuate, and those whose incarnation has ended. It ignores the report of an owner that
+// evacuate, and those, as reported, whose incarnation has ended. It ignores the report of an owner that
 // has been replaced by another one that reports.
-func (ctl *Controller) HandleReport(now time.Time, pol balance.Pool) (evacuating, ended []string) {
+func (ctl *Controller) HandleReport(now time.Time, pol balance.Pool) (evacuating []string, ended []balance.VM) {
 	ctl.mu.Lock()
 	defer ctl.mu.Unlock()
-	if latest := ctl.reports[pol.Name].pool.FencingToken; pol.FencingToken > 0 && pol.FencingToken < latest {
+	last := ctl.reports[pol.Name]
+	if latest := last.pool.FencingToken; pol.FencingToken > 0 && pol.FencingToken < latest {
 		ctl.cfg.Journal.Event(now, "reportIgnored", slog.String("pool", pol.Name), slog.Int64("fence", pol.FencingToken), slog.Int64("latestFence", latest))
 		return nil, nil
 	}
 	if ctl.isUrgent(pol) {
 		ctl.requestRound()
 	}
-	ctl.reports[pol.Name] = report{pool: pol, at: now}
+	rpt := report{pool: pol, at: now, missing: last.nextMissing(now, pol)}
+	ctl.reports[pol.Name] = rpt
 	ctl.arrivals.Observe(now, pol.Name, pol.Arrived)
 	inOperation := make(map[string]*operation, len(ctl.operations))
 	for _, opr := range ctl.operations {
@@ -223,9 +225,10 @@
 				opr.askedAt = now
 			}
 		}
-		if vm.IsUnresponsive && ctl.isEnded(vm.ID) {
-			ended = append(ended, vm.ID)
-			ctl.cfg.Journal.Event(now, "vmEnded", slog.String("vm", vm.ID), slog.String("pool", pol.Name), slog.Int("tasks", vm.Tasks))
+		if mvm := rpt.missing[vm.ID]; mvm.isEnded() {
+			ended = append(ended, vm)
+			ctl.cfg.Journal.Event(now, "vmEnded", slog.String("vm", vm.ID), slog.String("pool", pol.Name), slog.Int("tasks", vm.Tasks),
+				slog.Int64("revision", vm.Revision), slog.Duration("missing", now.Sub(mvm.since)), slog.Duration("listed", now.Sub(ctl.listedAt)))
 		}
 	}
 	return evacuating, ended
--- a/internal/schedule/fleetcontroller/machines.go
+++ b/internal/schedule/fleetcontroller/machines.go
@@ -4,37 +4,63 @@
 	"context"
 	"log/slog"
 	"time"
+
+	"daisywheel/internal/fleet/balance"
 )
 
-// isEnded reports whether the machine lists show that this incarnation of a VM has ended:
-// its machine is off or has another incarnation. One list is not enough, because it may
-// be older than the VM.
-func (ctl *Controller) isEnded(vm string) bool {
-	return ctl.missingCounts[vm] >= listsToConfirmEnd
+// missingVM is an unresponsive VM of a pool, and what the machine lists show of it.
+type missingVM struct {
+	revision int64     // see balance.VM
+	since    time.Time // when the first report with the revision arrived that had it as unresponsive
+	lists    int       // consecutive lists requested after that which lack the VM
+}
+
+// listsToConfirmEnd is how many consecutive lists must show that an incarnation has ended: its
+// machine is off or has another incarnation. One list may be older than the VM.
+const listsToConfirmEnd = 2
+
+func (mvm missingVM) isEnded() bool { return mvm.lists >= listsToConfirmEnd }
+
+// nextMissing returns the unresponsive VMs of the pool's next report. Lists count for a VM only as
+// long as the same owner reports the same revision of it, so that a VM which has come back meanwhile
+// does not end by them.
+func (rpt *report) nextMissing(now time.Time, pol balance.Pool) map[string]missingVM {
+	missing := map[string]missingVM{}
+	for _, vm := range pol.VMs {
+		if !vm.IsUnresponsive {
+			continue
+		}
+		mvm, ok := rpt.missing[vm.ID]
+		if !ok || mvm.revision != vm.Revision || rpt.pool.FencingToken != pol.FencingToken {
+			mvm = missingVM{revision: vm.Revision, since: now}
+		}
+		missing[vm.ID] = mvm
+	}
+	return missing
 }
 
-// countMissingVMs counts, for each unresponsive VM, the consecutive lists without it.
-func (ctl *Controller) countMissingVMs() {
+// countMissingVMs counts, for each unresponsive VM, the consecutive lists without it. The last
+// list was requested at requestedAt.
+func (ctl *Controller) countMissingVMs(requestedAt time.Time) {
 	alive := make(map[string]bool, len(ctl.machines))
 	for _, mac := range ctl.machines {
 		if !mac.IsOff {
 			alive[mac.VM] = true
 		}
 	}
-	missing := map[string]int{}
 	for _, rpt := range ctl.reports {
-		for _, vm := range rpt.pool.VMs {
-			if vm.IsUnresponsive && !alive[vm.ID] {
-				missing[vm.ID] = ctl.missingCounts[vm.ID] + 1
+		for id, mvm := range rpt.missing {
+			switch {
+			case alive[id]:
+				mvm.lists = 0
+			case requestedAt.After(mvm.since):
+				mvm.lists++
 			}
+			rpt.missing[id] = mvm
 		}
 	}
-	ctl.missingCounts = missing
 }
 
-// listsToConfirmEnd is how many consecutive lists must show that an incarnation has ended.
-const listsToConfirmEnd = 2
-
 // refreshMachines reads the machine list when it is due: every listInterval while
 // operations are in progress, VMs are missing or a wave waits for machines that are not
 // listed, and every idleListInterval otherwise.
@@ -68,7 +94,7 @@
 		}
 	}
 	if unreadable == 0 { // else any machine or VM may be the one that can't be read
-		ctl.countMissingVMs()
+		ctl.countMissingVMs(now)
 		ctl.countAbsences(now)
 	}
 	ctl.completeOperations(time.Now(), now, unreadable == 0)
--- a/internal/schedule/owner/loops.go
+++ b/internal/schedule/owner/loops.go
@@ -193,6 +193,7 @@
 		now := own.cfg.Now()
 		own.mu.Lock()
 		tgt, req, ok := own.sch.NextPoll(now, id)
+		revision := own.sch.Revision(id)
 		if !ok {
 			delete(own.polled, id)
 		}
@@ -205,7 +206,7 @@
 			own.cfg.Agent.Drop(last.Address)
 		}
 		last = tgt
-		ended, err := own.poll(now, tgt, req)
+		ended, err := own.poll(now, tgt, revision, req)
 		if isAnswering != (err == nil) {
 			isAnswering = err == nil
 			own.logPollChange(tgt, err)
@@ -245,9 +246,9 @@
 	return own.cfg.Agent.Poll(ctx, tgt, req)
 }
 
-// poll polls a VM, a second time if the answer is lost, and passes the report to the pool
-// scheduler. It reports whether runs have ended.
-func (own *Owner) poll(sent time.Time, tgt agent.Target, req agent.Poll) (ended bool, err error) {
+// poll polls a VM of the given revision, a second time if the answer is lost, and passes the report
+// to the pool scheduler. It reports whether runs have ended.
+func (own *Owner) poll(sent time.Time, tgt agent.Target, revision int64, req agent.Poll) (ended bool, err error) {
 	rpt, out, err := own.callPoll(tgt, req, firstPollSlack)
 	if out == agent.Unknown && !own.isEnding() {
 		own.mu.Lock()
@@ -263,7 +264,7 @@
 		return false, err
 	case agent.WrongIncarnation:
 		own.mu.Lock()
-		own.sch.EndIncarnation(now, tgt.VM)
+		own.sch.EndIncarnation(now, tgt.VM, revision)
 		own.requestClaimCheckIfUnconfirmed()
 		own.mu.Unlock()
 	case agent.Unknown:
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -426,13 +426,13 @@
 	own.sch.SetMaintenanceDue(vms)
 }
 
-// SetTerminated marks VMs whose incarnation has ended according to the platform's list
-// of machines.
-func (own *Owner) SetTerminated(now time.Time, vms []string) {
+// SetTerminated marks VMs whose incarnation has ended according to lists of machines that were
+// asked for after a report with these revisions of the VMs.
+func (own *Owner) SetTerminated(now time.Time, vms []balance.VM) {
 	own.mu.Lock()
 	defer own.mu.Unlock()
-	for _, id := range vms {
-		own.sch.EndIncarnation(now, id)
+	for _, vm := range vms {
+		own.sch.EndIncarnation(now, vm.ID, vm.Revision)
 	}
 	own.requestClaimCheckIfUnconfirmed()
 	if len(vms) > 0 {
--- a/internal/schedule/poolscheduler/begun_test.go
+++ b/internal/schedule/poolscheduler/begun_test.go
@@ -63,7 +63,7 @@
 		accept(start, sch, step(1, 1000))
 		show(sch, starts(sch.Plan(start))[0])
 		checkShown(t, name, sch, 0, jobrecord.Running)
-		sch.EndIncarnation(start, "a")
+		sch.EndIncarnation(start, "a", sch.Revision("a"))
 		checkShown(t, name+", VM gone", sch, 0, jobrecord.Running)
 	}
 }
--- a/internal/schedule/poolscheduler/place.go
+++ b/internal/schedule/poolscheduler/place.go
@@ -242,6 +242,7 @@
 
 // HandleStartOutcome handles the outcome of a start order.
 func (sch *Scheduler) HandleStartOutcome(now time.Time, ord Order, out agent.Outcome) {
+	sch.noteAnswer(ord.Target.VM, out)
 	tst := sch.findTask(ord.Task)
 	if tst != nil && out == agent.Done {
 		sch.markBegun(now, tst, ord.Target.VM)
@@ -298,8 +299,17 @@
 	return min(maxRefusalPause, minRefusalPause<<min(refusals-2, 10))
 }
 
+// noteAnswer revises a VM that has answered an order.
+func (sch *Scheduler) noteAnswer(id string, out agent.Outcome) {
+	vst, ok := sch.vms[id]
+	if ok && out != agent.Unknown && out != agent.Unreachable && out != agent.WrongIncarnation {
+		sch.revise(vst)
+	}
+}
+
 // HandleStopOutcome handles the outcome of a stop order.
 func (sch *Scheduler) HandleStopOutcome(now time.Time, ord Order, out agent.Outcome) {
+	sch.noteAnswer(ord.Target.VM, out)
 	vst := sch.vms[ord.Target.VM]
 	if vst == nil || out != agent.Done {
 		return
--- a/internal/schedule/poolscheduler/pool.go
+++ b/internal/schedule/poolscheduler/pool.go
@@ -16,7 +16,7 @@
 	for _, vst := range sch.sortedVMs() {
 		vm := balance.VM{
 			ID: vst.host.ID, MilliCores: vst.host.Capacity.MilliCores, Tasks: vst.occupancy(now),
-			Since: vst.firstReportAt, IsEvacuating: vst.isEvacuating, IsUnresponsive: vst.isUnresponsive,
+			Since: vst.firstReportAt, IsEvacuating: vst.isEvacuating, IsUnresponsive: vst.isUnresponsive, Revision: vst.revision,
 			IsUsable: vst.hasReported && vst.isPresent(now) && !vst.host.IsDraining && now.Sub(vst.lastReportAt) <= reportStaleAfter,
 		}
 		for _, tst := range vst.tasks {
--- a/internal/schedule/poolscheduler/poolscheduler_test.go
+++ b/internal/schedule/poolscheduler/poolscheduler_test.go
@@ -63,7 +63,7 @@
 func TestEndedIncarnationIsNotAddedAgain(t *testing.T) {
 	sch, events := newScheduler(true)
 	addVMs(start, sch, vm("a", 1))
-	sch.EndIncarnation(start, "a")
+	sch.EndIncarnation(start, "a", sch.Revision("a"))
 	for range 3 {
 		sch.SetListedVMs(start, []host.Host{vm("a", 1)})
 	}
--- a/internal/schedule/poolscheduler/report.go
+++ b/internal/schedule/poolscheduler/report.go
@@ -134,6 +134,7 @@
 			sch.isUrgent = true
 		}
 	}
+	sch.revise(vst)
 	if !vst.hasReported {
 		if !vst.isUnreconciled {
 			vst.firstReportAt = now // a VM that an earlier owner used has not just joined the pool
--- a/internal/schedule/poolscheduler/state.go
+++ b/internal/schedule/poolscheduler/state.go
@@ -109,6 +109,7 @@
 // begins a new incarnation.
 type vmState struct {
 	host                host.Host
+	revision            int64 // see balance.VM
 	isListed            bool
 	unlistedAt          time.Time // when it was last dropped from the platform's list
 	isStored            bool      // its record is stored, so tasks may run there
--- a/internal/schedule/poolscheduler/unconfirmed_test.go
+++ b/internal/schedule/poolscheduler/unconfirmed_test.go
@@ -16,7 +16,7 @@
 		name string
 		end  func(sch *poolscheduler.Scheduler, now time.Time)
 	}{
-		{"the list of machines shows the end", func(sch *poolscheduler.Scheduler, now time.Time) { sch.EndIncarnation(now, "a") }},
+		{"the list of machines shows the end", func(sch *poolscheduler.Scheduler, now time.Time) { sch.EndIncarnation(now, "a", sch.Revision("a")) }},
 		{"the VM has restarted", func(sch *poolscheduler.Scheduler, now time.Time) {
 			sch.HandleReport(now, now, "a", agent.Report{Incarnation: 2})
 		}},
--- a/internal/schedule/poolscheduler/vm.go
+++ b/internal/schedule/poolscheduler/vm.go
@@ -50,6 +50,9 @@
 	}
 	vst.kindIncarnation = hst.Incarnation
 	needsRecord := vst.host.Address != hst.Address || hst.Incarnation > vst.host.Incarnation
+	if needsRecord {
+		sch.revise(vst)
+	}
 	hst.Incarnation = max(hst.Incarnation, vst.host.Incarnation) // the list may lag behind a report
 	vst.host, vst.isListed = hst, true
 	if needsRecord {
@@ -61,10 +64,25 @@
 }
 
 func (sch *Scheduler) addVM(vst *vmState) {
+	sch.revise(vst)
 	sch.vms[vst.host.ID] = vst
 	sch.sorted = nil
 }
 
+// revise marks what is known of the VM as changed.
+func (sch *Scheduler) revise(vst *vmState) {
+	sch.revision++
+	vst.revision = sch.revision
+}
+
+// Revision returns the number of what is known of the VM, see balance.VM, or 0 if it is unknown.
+func (sch *Scheduler) Revision(id string) int64 {
+	if vst, ok := sch.vms[id]; ok {
+		return vst.revision
+	}
+	return 0
+}
+
 // sortedVMs returns the VMs sorted by id.
 func (sch *Scheduler) sortedVMs() []*vmState {
 	if sch.sorted == nil {
@@ -140,6 +158,7 @@
 		}
 		tst.stopSentAt, tst.stopAckedAt = time.Time{}, time.Time{}
 	}
+	sch.revise(vst)
 	sch.cfg.Event(now, "vmReborn", slog.String("vm", vst.host.ID), slog.Int64("born", incarnation), slog.Int64("ended", ended),
 		slog.Int("tasks", len(vst.tasks)), slog.Int("undecided", undecided))
 }
@@ -182,13 +201,20 @@
 
 // EndIncarnation handles the end of a VM's incarnation and of all that ran there. The end
 // is known when another VM answers at its address or from the platform's list of
-// machines.
-func (sch *Scheduler) EndIncarnation(now time.Time, id string) {
+// machines. The revision is that of the VM when its owner asked for what shows the end, by a poll or
+// a report on the pool. An end that was asked for at another revision has no effect, as the VM may
+// have come back since.
+func (sch *Scheduler) EndIncarnation(now time.Time, id string, revision int64) {
 	vst, ok := sch.vms[id]
 	if !ok {
 		return
 	}
-	sch.cfg.Event(now, "vmReplaced", slog.String("vm", id), slog.Int("tasks", len(vst.tasks)))
+	attrs := []slog.Attr{slog.String("vm", id), slog.Int64("revision", revision), slog.Int64("born", vst.incarnation), slog.Int("tasks", len(vst.tasks))}
+	if vst.revision != revision {
+		sch.cfg.Event(now, "vmEndIgnored", append(attrs, slog.Int64("present", vst.revision))...)
+		return
+	}
+	sch.cfg.Event(now, "vmReplaced", attrs...)
 	for _, tst := range vst.tasks {
 		sch.markUnconfirmed(now, tst)
 	}
--- a/internal/schedule/service/fleet.go
+++ b/internal/schedule/service/fleet.go
@@ -13,6 +13,7 @@
 	"daisywheel/internal/schedule/claim"
 	"daisywheel/internal/schedule/fleetcontroller"
 	"daisywheel/internal/schedule/group"
+	"daisywheel/internal/schedule/owner"
 	"daisywheel/internal/schedule/poolscheduler"
 )
 
@@ -84,14 +85,14 @@
 // replies, which name the VMs to evacuate.
 func (svc *Service) report(now time.Time) {
 	svc.mu.Lock()
-	pools := make([]balance.Pool, 0, len(svc.owners))
+	pools := make(map[*owner.Owner]balance.Pool, len(svc.owners))
 	for _, own := range svc.owners {
-		pools = append(pools, own.BalanceInput(now))
+		pools[own] = own.BalanceInput(now)
 	}
 	svc.mu.Unlock()
-	for _, pol := range pools {
+	for own, pol := range pools {
 		rpl, err := svc.sendReport(now, pol)
-		svc.applyReportReply(now, pol.Name, rpl, err)
+		svc.applyReportReply(now, own, pol.Name, rpl, err)
 	}
 }
 
@@ -103,7 +104,8 @@
 	}
 }
 
-func (svc *Service) applyReportReply(now time.Time, pool string, rpl reportReplyJSON, err error) {
+// applyReportReply applies the reply to a report of the owner, or its lack.
+func (svc *Service) applyReportReply(now time.Time, own *owner.Owner, pool string, rpl reportReplyJSON, err error) {
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
 	if err != nil {
@@ -114,11 +116,12 @@
 	}
 	evc := evacuation{vms: setOf(rpl.Evacuating), at: now}
 	svc.evacuations[pool] = evc
-	if own := svc.owners[pool]; own != nil {
-		own.SetEvacuating(now, evc.vms)
-		own.SetTerminated(now, rpl.Terminated)
-		own.SetMaintenanceDue(setOf(rpl.MaintenanceDue))
+	if svc.owners[pool] != own {
+		return // another term has begun, whose owner numbers revisions anew
 	}
+	own.SetEvacuating(now, evc.vms)
+	own.SetTerminated(now, rpl.endedVMs())
+	own.SetMaintenanceDue(setOf(rpl.MaintenanceDue))
 }
 
 func setOf(vms []string) map[string]bool {
@@ -134,8 +137,8 @@
 	ctl, address := svc.activeController(now), svc.controllerAddress
 	svc.mu.Unlock()
 	if ctl != nil {
-		evacuating, terminated := ctl.HandleReport(now, pol)
-		return reportReplyJSON{Evacuating: evacuating, Terminated: terminated, MaintenanceDue: ctl.DueVMs(pol)}, nil
+		evacuating, ended := ctl.HandleReport(now, pol)
+		return newReportReply(evacuating, ended, ctl.DueVMs(pol)), nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
@@ -182,8 +185,8 @@
 		return nil, fault.New(code.NotReady, "this entry does not run the fleet controller")
 	}
 	pol := decodePool(now, msg)
-	evacuating, terminated := ctl.HandleReport(now, pol)
-	return reportReplyJSON{Evacuating: evacuating, Terminated: terminated, MaintenanceDue: ctl.DueVMs(pol)}, nil
+	evacuating, ended := ctl.HandleReport(now, pol)
+	return newReportReply(evacuating, ended, ctl.DueVMs(pol)), nil
 }
 
 // poolJSON is the report of a pool, sent between entries. Times are sent as ages, as
@@ -208,16 +211,49 @@
 	IsUsable       bool   `json:"isUsable,omitempty"`
 	IsEvacuating   bool   `json:"isLeaving,omitempty"`
 	IsUnresponsive bool   `json:"isSilent,omitempty"`
+	Revision       int64  `json:"revision,omitempty"`
 }
 
-// reportReplyJSON is the fleet controller's reply to a report. Each field lists VM
-// IDs.
+// reportReplyJSON is the fleet controller's reply to a report. Evacuating and MaintenanceDue list
+// VM IDs.
 type reportReplyJSON struct {
-	Evacuating     []string `json:"leaving"`
+	Evacuating []string       `json:"leaving"`
+	EndedVMs   []revisionJSON `json:"endedVMs,omitempty"`
+	// Terminated has the IDs of VMs that were reported without a revision, by an owner of an
+	// earlier version of the program. An owner ignores it: it does not say which incarnation
+	// has ended, so leases have to expire.
 	Terminated     []string `json:"ended"`
 	MaintenanceDue []string `json:"due,omitempty"`
 }
 
+// revisionJSON is a VM as its owner knew it when it sent the report.
+type revisionJSON struct {
+	ID       string `json:"id"`
+	Revision int64  `json:"revision"`
+}
+
+// newReportReply returns the reply to a report.
+func newReportReply(evacuating []string, ended []balance.VM, due []string) reportReplyJSON {
+	rpl := reportReplyJSON{Evacuating: evacuating, MaintenanceDue: due}
+	for _, vm := range ended {
+		if vm.Revision == 0 {
+			rpl.Terminated = append(rpl.Terminated, vm.ID)
+			continue
+		}
+		rpl.EndedVMs = append(rpl.EndedVMs, revisionJSON{ID: vm.ID, Revision: vm.Revision})
+	}
+	return rpl
+}
+
+// endedVMs returns the VMs that have ended.
+func (rpl *reportReplyJSON) endedVMs() []balance.VM {
+	vms := make([]balance.VM, 0, len(rpl.EndedVMs))
+	for _, end := range rpl.EndedVMs {
+		vms = append(vms, balance.VM{ID: end.ID, Revision: end.Revision})
+	}
+	return vms
+}
+
 // maxAge caps the ages that are sent. A VM whose arrival in the pool was not seen has
 // a zero time, whose age would be far longer.
 const maxAge = time.Hour
@@ -228,6 +264,7 @@
 		msg.VMs = append(msg.VMs, vmJSON{
 			ID: vm.ID, MilliCores: vm.MilliCores, Tasks: vm.Tasks, LongRunning: vm.LongRunning,
 			AgeMs: min(now.Sub(vm.Since), maxAge).Milliseconds(), IsUsable: vm.IsUsable, IsEvacuating: vm.IsEvacuating, IsUnresponsive: vm.IsUnresponsive,
+			Revision: vm.Revision,
 		})
 	}
 	return msg
@@ -239,6 +276,7 @@
 		pol.VMs = append(pol.VMs, balance.VM{
 			ID: vm.ID, MilliCores: vm.MilliCores, Tasks: vm.Tasks, LongRunning: vm.LongRunning,
 			Since: now.Add(-time.Duration(vm.AgeMs) * time.Millisecond), IsUsable: vm.IsUsable, IsEvacuating: vm.IsEvacuating, IsUnresponsive: vm.IsUnresponsive,
+			Revision: vm.Revision,
 		})
 	}
 	return pol
--- /dev/null
+++ b/internal/schedule/service/fleet_test.go
@@ -0,0 +1,42 @@
+package service
+
+import (
+	"encoding/json"
+	"slices"
+	"testing"
+	"time"
+
+	"daisywheel/internal/fleet/balance"
+)
+
+// A fleet controller of this version answers owners of earlier ones, which report no revisions, as
+// those expect; an owner of this version takes no end of a VM from an answer that names no revision.
+func TestReportRepliesBetweenVersions(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var old struct {
+		Terminated []string `json:"ended"`
+	}
+	var msg poolJSON
+	if err := json.Unmarshal([]byte(`{"name":"gate","vms":[{"id":"a","isSilent":true}]}`), &msg); err != nil {
+		t.Fatal(err)
+	}
+	data, err := json.Marshal(newReportReply(nil, decodePool(now, msg).VMs, nil))
+	if err == nil {
+		err = json.Unmarshal(data, &old)
+	}
+	if err != nil || !slices.Equal(old.Terminated, []string{"a"}) {
+		t.Errorf("an owner of an earlier version reads %v (%v) from %s, want a", old.Terminated, err, data)
+	}
+	var rpl reportReplyJSON
+	if err := json.Unmarshal([]byte(`{"leaving":["b"],"ended":["a"]}`), &rpl); err != nil {
+		t.Fatal(err)
+	}
+	if ended := rpl.endedVMs(); len(ended) != 0 || !slices.Equal(rpl.Evacuating, []string{"b"}) {
+		t.Errorf("of an earlier controller's answer %+v, VMs %v end", rpl, ended)
+	}
+	reported := encodePool(now, balance.Pool{VMs: []balance.VM{{ID: "a", IsUnresponsive: true, Revision: 7}}})
+	rpl = newReportReply(nil, decodePool(now, reported).VMs, nil)
+	if ended := rpl.endedVMs(); len(ended) != 1 || ended[0].ID != "a" || ended[0].Revision != 7 || len(rpl.Terminated) != 0 {
+		t.Errorf("answer %+v to a report of this version, want the end of a at revision 7", rpl)
+	}
+}
