Refuse what was routed before the queue's present route

The owner compared the pool of the sender's route with the present pool, not the versions of the configuration, so a route that had been away and had come back looked unchanged. A queue now carries the version since which it has had its pool. The owner accepts nothing new that was routed by an earlier version, in one place (Owner.isRoutedByOldConfig), and answers with a code of its own, 120 staleRoute; senders of earlier versions get notReady as before. The sender then reads the configurations that it lacks, without waiting for its long poll, and sends the request by the present route. Reading moves into a package of its own, operatorfeed, which knows whether any version was missed.

TestOwnerRefusesSubmissionsRoutedByOldConfig expects the new code, and a refusal after the queue's return too.

--- a/internal/event/timeline/explain.go
+++ b/internal/event/timeline/explain.go
@@ -14,7 +14,7 @@
 // pools, the VMs and the services that they depend on.
 var contextKinds = []string{
 	"claimsRegained", "claimsUnread", "cellSettled", "configInForce", "linesLeftOut", "membershipRegained",
-	"membershipUnconfirmed", "operatorRegained", "operatorUnread", "ownerLost", "ownerNotAlive", "ownerNotOpened",
+	"membershipUnconfirmed", "operatorNotCaughtUp", "operatorRegained", "operatorUnread", "ownerLost", "ownerNotAlive", "ownerNotOpened",
 	"ownerStarted", "ownerStopped", "poolState", "processStarted", "processStopping", "storeLost", "storeRegained",
 	"vmEndIgnored", "vmEnded", "vmLapsed", "vmLeaving", "vmListRegained", "vmListUnread", "vmQuarantined", "vmReborn", "vmRegained",
 	"vmReplaced", "vmUnanswered",
--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -38,10 +38,12 @@
 	IsSnapshot bool
 }
 
-// OperatorPage is a page of operator records.
+// OperatorPage is a page of operator records. With IsSnapshot it has only the newest record of each
+// kind, so that configurations may be missing.
 type OperatorPage struct {
-	Records []OperatorRecord
-	Next    int64
+	Records    []OperatorRecord
+	Next       int64
+	IsSnapshot bool
 }
 
 // Machine is a VM across its incarnations, as the platform's operators know it.
--- a/internal/fleet/queue/queue.go
+++ b/internal/fleet/queue/queue.go
@@ -21,6 +21,9 @@
 	LatencyGoal    time.Duration // see DeadlineFactor
 	NeedsAdvice    bool          // the advice service must allow a VM before a task starts there
 	Version        int64         // of the configuration that the queue is from; set by NewTable
+	// Since is the first version, of those known to this process without a gap, by which the queue has
+	// its pool. Set by NewTable and After.
+	Since int64
 }
 
 // Address returns the host and prefix at which callers ask. It tells queues apart over
@@ -61,13 +64,43 @@
 func NewTable(version int64, queues []Queue, pools []Pool) *Table {
 	tab := &Table{version: version, queues: append([]Queue(nil), queues...), pools: append([]Pool(nil), pools...)}
 	for i := range tab.queues {
-		tab.queues[i].Version = version
+		tab.queues[i].Version, tab.queues[i].Since = version, version
 	}
 	sort.SliceStable(tab.queues, func(i, j int) bool { return len(tab.queues[i].Prefix) > len(tab.queues[j].Prefix) })
 	sort.Slice(tab.pools, func(i, j int) bool { return tab.pools[i].Name < tab.pools[j].Name })
 	return tab
 }
 
+// After returns the table as the next one after old, with no other between them.
+func (tab *Table) After(old *Table) *Table {
+	if old == nil {
+		return tab
+	}
+	next := *tab
+	next.queues = slices.Clone(tab.queues)
+	for i := range next.queues {
+		que := &next.queues[i]
+		if last, ok := old.At(que.Address()); ok && last.Pool == que.Pool {
+			que.Since = last.Since
+		}
+	}
+	return &next
+}
+
+// IsRerouted reports whether the queue has got its pool, as far as is known, by a later version of the
+// configuration than the reference's, whose pool may then be another one.
+func (que *Queue) IsRerouted(ref Ref) bool { return ref.Version != 0 && ref.Version < que.Since }
+
+// At returns the queue with the address.
+func (tab *Table) At(address string) (Queue, bool) {
+	for i := range tab.queues {
+		if tab.queues[i].Address() == address {
+			return tab.queues[i], true
+		}
+	}
+	return Queue{}, false
+}
+
 // Version returns the version number of the configuration.
 func (tab *Table) Version() int64 { return tab.version }
 
@@ -105,10 +138,8 @@
 
 // Find returns the queue with the address of the reference, or else with its name.
 func (tab *Table) Find(ref Ref) (Queue, bool) {
-	for i := range tab.queues {
-		if ref.Address != "" && tab.queues[i].Address() == ref.Address {
-			return tab.queues[i], true
-		}
+	if que, ok := tab.At(ref.Address); ok && ref.Address != "" {
+		return que, true
 	}
 	return tab.ByName(ref.Name)
 }
--- a/internal/result/code/code.go
+++ b/internal/result/code/code.go
@@ -30,6 +30,7 @@
 	MemoryLimit       Code = 117
 	NotReady          Code = 118
 	KeyOutcomeUnknown Code = 119
+	StaleRoute        Code = 120
 
 	BadTable      Code = 201
 	BadRow        Code = 202
@@ -100,6 +101,7 @@
 	MemoryLimit:       {"memoryLimit", http.StatusServiceUnavailable, "repeat after the time in Retry-After"},
 	NotReady:          {"notReady", http.StatusServiceUnavailable, "repeat at another entry; this one has not read the log yet"},
 	KeyOutcomeUnknown: {"keyOutcomeUnknown", http.StatusConflict, "find out whether the first request with this key ran"},
+	StaleRoute:        {"staleRoute", http.StatusServiceUnavailable, "repeat; the queue has just got another pool"},
 	BadTable:          {"badTable", http.StatusBadRequest, "correct the table as the detail says"},
 	BadRow:            {"badRow", http.StatusBadRequest, "correct the row as the detail says"},
 	StaleRevision:     {"staleRevision", http.StatusConflict, "read the row again and repeat the edit on its present revision"},
--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -73,6 +73,9 @@
 	// IsConfirmed reports whether this entry's membership is confirmed. If not, it may be
 	// cut off from the log and from other entries.
 	IsConfirmed func() bool
+	// CatchUp returns once this entry has applied all configurations that were stored when it was
+	// called. Nil is for entries whose configuration does not change.
+	CatchUp func(ctx context.Context, now time.Time) error
 }
 
 // Gateway routes requests to the owners of pools. It is safe for concurrent use.
@@ -86,10 +89,12 @@
 	assignments    map[string]assignment // by address of the queue
 }
 
-// assignment is the pool of a queue, and since when this entry knows of it.
+// assignment is the pool of a queue since a version of the configuration, and since when this entry
+// knows of it.
 type assignment struct {
-	pool  string
-	since time.Time
+	pool    string
+	version int64
+	since   time.Time
 }
 
 // New returns a Gateway and registers its RPC handlers on the peer endpoint.
@@ -110,8 +115,8 @@
 	next := map[string]assignment{}
 	for _, que := range tab.Queues() {
 		asg := gtw.assignments[que.Address()]
-		if asg.pool != que.Pool {
-			asg = assignment{pool: que.Pool, since: now}
+		if asg.pool != que.Pool || asg.version != que.Since {
+			asg = assignment{pool: que.Pool, version: que.Since, since: now}
 		}
 		next[que.Address()] = asg
 	}
@@ -131,12 +136,14 @@
 	// MinVersion is the version of the configuration that the owner must have read to
 	// answer. Then it no longer accepts jobs that are routed by earlier ones.
 	MinVersion int64 `json:"minVersion,omitempty"`
+	// Reroutes is set if the sender knows the code StaleRoute.
+	Reroutes bool `json:"reroutes,omitempty"`
 }
 
 // newRequest returns a request about the queue to the pool, which may be a former one of
 // the queue.
 func newRequest(pool string, que queue.Queue, id string) request {
-	return request{Pool: pool, Queue: que.Name, Address: que.Address(), Version: que.Version, ID: id}
+	return request{Pool: pool, Queue: que.Name, Address: que.Address(), Version: que.Version, ID: id, Reroutes: true}
 }
 
 func (req *request) queue() queue.Ref {
@@ -158,18 +165,65 @@
 	if err != nil {
 		return fault.Wrap(err, code.BadShape, "job cannot be stored")
 	}
-	isAccepted, err := gtw.isAcceptedBefore(ctx, now, que, pln.ID)
-	if isAccepted || err != nil {
-		return err
-	}
-	req := newRequest(que.Pool, que, "")
-	req.Job = job
-	_, err = gtw.call(ctx, methodSubmit, req, func(own *owner.Owner) (reply, error) {
-		return reply{}, own.Submit(ctx, now, pln, que.Ref())
+	_, err = gtw.byRoute(ctx, que, func(que queue.Queue) (reply, error) {
+		isAccepted, err := gtw.isAcceptedBefore(ctx, now, que, pln.ID)
+		if isAccepted || err != nil {
+			return reply{}, err
+		}
+		req := newRequest(que.Pool, que, "")
+		req.Job = job
+		return gtw.call(ctx, methodSubmit, req, func(own *owner.Owner) (reply, error) {
+			return reply{}, own.Submit(ctx, now, pln, que.Ref())
+		})
 	})
 	return err
 }
 
+// byRoute makes a request by the queue's present route, and again if an owner answers that the
+// queue has been rerouted since the version of that route.
+func (gtw *Gateway) byRoute(ctx context.Context, que queue.Queue, send func(que queue.Queue) (reply, error)) (reply, error) {
+	for {
+		rep, err := send(que)
+		isStale := fault.CodeOf(err) == code.StaleRoute
+		if !isStale && !isNotOwner(err) {
+			return rep, err
+		}
+		if isStale {
+			if err := gtw.catchUp(ctx); err != nil {
+				return reply{}, fault.Wrap(err, code.LogUnavailable, "route of the queue %s", que.Name)
+			}
+		}
+		next, ok := gtw.presentRoute(que)
+		isNewer := isStale && next.Version > que.Version || next.IsRerouted(que.Ref())
+		if !ok || !isNewer || ctx.Err() != nil {
+			return rep, err
+		}
+		gtw.cfg.Journal.Event(time.Now(), "requestRerouted", slog.String("queue", que.Name), slog.Int64("version", que.Version),
+			slog.Int64("since", next.Since), slog.String("from", que.Pool), slog.String("to", next.Pool))
+		que = next
+	}
+}
+
+func (gtw *Gateway) catchUp(ctx context.Context) error {
+	if gtw.cfg.CatchUp == nil {
+		return nil
+	}
+	ctx, cancel := gtw.limitIfCutOff(ctx)
+	defer cancel()
+	return gtw.cfg.CatchUp(ctx, time.Now())
+}
+
+// presentRoute returns the queue as the configuration in force has it.
+func (gtw *Gateway) presentRoute(que queue.Queue) (queue.Queue, bool) {
+	gtw.mu.Lock()
+	tab := gtw.table
+	gtw.mu.Unlock()
+	if tab == nil {
+		return queue.Queue{}, false
+	}
+	return tab.At(que.Address())
+}
+
 // isAcceptedBefore reports whether a former pool of the queue has the job, whose submission
 // is then a repetition.
 func (gtw *Gateway) isAcceptedBefore(ctx context.Context, now time.Time, que queue.Queue, id string) (bool, error) {
@@ -558,7 +612,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return reply{}, own.Submit(ctx, time.Now(), job.Plan, req.queue())
+	return reply{}, req.refusal(own.Submit(ctx, time.Now(), job.Plan, req.queue()))
+}
+
+// refusal returns the error as the sender knows it: one of an earlier version of the program repeats the
+// request.
+func (req *request) refusal(err error) error {
+	if fault.CodeOf(err) == code.StaleRoute && !req.Reroutes {
+		return fault.Wrap(err, code.NotReady, "the sender's route")
+	}
+	return err
 }
 
 func (gtw *Gateway) serveState(_ context.Context, params json.RawMessage) (any, error) {
--- a/internal/schedule/owner/owner_test.go
+++ b/internal/schedule/owner/owner_test.go
@@ -518,16 +518,26 @@
 			t.Fatal(err)
 		}
 		que.Pool = "mill"
-		own.SetTable(queue.NewTable(2, []queue.Queue{que}, []queue.Pool{{Name: pool}, {Name: "mill"}}))
+		away := queue.NewTable(2, []queue.Queue{que}, []queue.Pool{{Name: pool}, {Name: "mill"}})
+		own.SetTable(away)
 		if err := own.Submit(t.Context(), time.Now(), job(1, 1), old.Ref()); err != nil {
 			t.Errorf("repetition of an accepted job: %v", err)
 		}
-		if err := own.Submit(t.Context(), time.Now(), job(2, 1), old.Ref()); fault.CodeOf(err) != code.NotReady {
-			t.Errorf("new job routed by version 1: %v, want notReady", err)
+		if err := own.Submit(t.Context(), time.Now(), job(2, 1), old.Ref()); fault.CodeOf(err) != code.StaleRoute {
+			t.Errorf("new job routed by version 1: %v, want staleRoute", err)
 		}
 		if err := own.Submit(t.Context(), time.Now(), job(3, 1), passes); err != nil {
 			t.Errorf("new job by an entry that does not tell its version: %v", err)
 		}
+		que.Pool = pool
+		back := queue.NewTable(3, []queue.Queue{que}, []queue.Pool{{Name: pool}, {Name: "mill"}}).After(away)
+		own.SetTable(queue.NewTable(4, []queue.Queue{que}, []queue.Pool{{Name: pool}}).After(back))
+		if err := own.Submit(t.Context(), time.Now(), job(2, 1), old.Ref()); fault.CodeOf(err) != code.StaleRoute {
+			t.Errorf("new job routed by version 1 after the queue has returned: %v, want staleRoute", err)
+		}
+		if err := own.Submit(t.Context(), time.Now(), job(4, 1), back.Queues()[0].Ref()); err != nil {
+			t.Errorf("new job routed by the version with which the queue has returned: %v", err)
+		}
 	})
 }
 
--- a/internal/schedule/owner/requests.go
+++ b/internal/schedule/owner/requests.go
@@ -34,7 +34,7 @@
 		}
 		if own.isRoutedByOldConfig(que) {
 			own.mu.Unlock()
-			return fault.New(code.NotReady, "the queue %s has another pool since a later version than %d", que.Name, que.Version)
+			return newStaleRoute(que)
 		}
 		if own.isRetrying && now.Sub(own.stalledSince) > stallLimit {
 			wait := own.refusals.Add(now, pln)
@@ -109,14 +109,20 @@
 	return que.MaxAttempts
 }
 
-// isRoutedByOldConfig reports whether the queue has another pool by a later configuration
-// than the sender's. The caller holds the lock.
+// isRoutedByOldConfig reports whether the queue has, or has had, another pool by a later
+// configuration than the sender's. That pool may have accepted jobs which the sender does not know
+// of, so nothing follows from what this one lacks. The caller holds the lock.
 func (own *Owner) isRoutedByOldConfig(ref queue.Ref) bool {
-	if own.table == nil || ref.Version == 0 || ref.Version >= own.table.Version() {
+	if own.table == nil {
 		return false
 	}
 	que, ok := own.table.Find(ref)
-	return ok && que.Pool != own.cfg.Pool
+	return ok && que.IsRerouted(ref)
+}
+
+// newStaleRoute returns the refusal of a request that was routed by an old configuration.
+func newStaleRoute(ref queue.Ref) error {
+	return fault.New(code.StaleRoute, "the queue %s has been rerouted by a later version than %d", ref.Name, ref.Version)
 }
 
 // isOfOtherQueue reports whether the job was submitted to another queue. Jobs of a queue that
--- /dev/null
+++ b/internal/schedule/service/reroute_test.go
@@ -0,0 +1,133 @@
+package service_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"daisywheel/internal/fleet/queue"
+	"daisywheel/internal/job/plan"
+	"daisywheel/internal/job/task"
+	"daisywheel/internal/peer/rpc"
+	"daisywheel/internal/result/code"
+	"daisywheel/internal/result/fault"
+	"daisywheel/internal/schedule/jobrecord"
+	"daisywheel/internal/schedule/service"
+)
+
+// startRerouting starts entries until both pools have owners, and returns them with an entry that owns
+// neither.
+func startRerouting(t *testing.T) (ste *site, gate, mill, other *service.Service) {
+	t.Helper()
+	ste = startSite(t, 3)
+	for limit := time.Now().Add(testTimeout); gate == nil || mill == nil; time.Sleep(10 * time.Millisecond) {
+		for _, svc := range ste.entries {
+			if svc.Owner(pool) != nil {
+				gate = svc
+			}
+			if svc.Owner(otherPool) != nil {
+				mill = svc
+			}
+		}
+		if time.Now().After(limit) {
+			t.Fatal("a pool has no owner")
+		}
+	}
+	for _, svc := range ste.entries {
+		if svc != gate && svc != mill {
+			other = svc
+		}
+	}
+	return ste, gate, mill, other
+}
+
+// setLate sets whether an entry's long polls for configurations get no answer.
+func (ste *site) setLate(late *service.Service) {
+	for num, svc := range ste.entries {
+		if svc == late {
+			ste.late.Store(int32(num))
+		}
+	}
+	time.Sleep(50 * time.Millisecond) // long polls that are open notice it within 5 ms
+}
+
+// awaitTableAt waits until the entry has read the configuration in force.
+func (ste *site) awaitTableAt(svc *service.Service) {
+	ste.t.Helper()
+	for limit := time.Now().Add(testTimeout); svc.Table().Version() != ste.table.Load().Version(); time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			ste.t.Fatal("an entry does not read the configuration")
+		}
+	}
+}
+
+// oneTask returns a job of one task.
+func oneTask() *plan.Plan {
+	pln := job(1)
+	pln.Steps = []plan.Step{{Count: 1, Demand: demand(task.ID{}), Estimate: 50 * time.Millisecond}}
+	return pln
+}
+
+func rerouted(que queue.Queue, pool string) queue.Queue {
+	que.Pool = pool
+	return que
+}
+
+// Guards against a job that runs twice: its queue went to another pool, which accepted the job, and back,
+// and an entry that had read neither configuration submitted it again to the queue's pool.
+func TestJobOfAQueueThatHasReturnedRunsOnce(t *testing.T) {
+	ste, gate, mill, other := startRerouting(t)
+	ste.setLate(other)
+	first := ste.queueAt(passes)
+	ste.putTable(2, rerouted(passes, otherPool))
+	ste.awaitTableAt(gate)
+	ste.awaitTableAt(mill)
+	ste.submit(mill, oneTask())
+	ste.putTable(3, passes)
+	ste.awaitTableAt(gate)
+	ste.awaitTableAt(mill)
+	if version := other.Table().Version(); version != first.Version {
+		t.Fatalf("the late entry has read version %d", version)
+	}
+	if err := other.Gateway().Submit(t.Context(), time.Now(), first, oneTask()); err != nil {
+		t.Errorf("repeated submission: %v", err)
+	}
+	ste.await(mill, oneTask().ID)
+	time.Sleep(500 * time.Millisecond)
+	if got := ste.fleet.Starts(); got != 1 {
+		t.Errorf("%d starts, want 1", got)
+	}
+	ste.late.Store(noEntry)
+	ste.stop()
+	ste.checkInvariants()
+}
+
+// An entry of an earlier version of the program does not know the code StaleRoute, and repeats what is
+// not ready.
+func TestStaleRouteIsNotReadyToEarlierVersions(t *testing.T) {
+	ste, gate, _, _ := startRerouting(t)
+	ste.putTable(2, rerouted(passes, otherPool))
+	ste.awaitTable()
+	job, err := jobrecord.EncodeJob(jobrecord.Job{Plan: oneTask(), Queue: passes.Name, Address: passes.Address()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	lnk := rpc.New(rpc.Config{})
+	defer lnk.Close()
+	for isKnown, want := range map[bool]code.Code{false: code.NotReady, true: code.StaleRoute} {
+		req := map[string]any{"service": pool, "queue": passes.Name, "address": passes.Address(), "version": 1, "job": json.RawMessage(job)}
+		if isKnown {
+			req["reroutes"] = true
+		}
+		for num, svc := range ste.entries {
+			if svc != gate {
+				continue
+			}
+			if err := lnk.Call(t.Context(), ste.addresses[num], "job.submit", req, nil); fault.CodeOf(err) != want {
+				t.Errorf("answer to a stale submission: %v, want code %d", err, want)
+			}
+		}
+	}
+	ste.stop()
+	ste.checkInvariants()
+}
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -19,6 +19,7 @@
 	"daisywheel/internal/fleet/directory"
 	"daisywheel/internal/fleet/host"
 	"daisywheel/internal/fleet/maintenance"
+	"daisywheel/internal/fleet/operatorfeed"
 	"daisywheel/internal/fleet/queue"
 	"daisywheel/internal/kernel/loop"
 	"daisywheel/internal/peer/rpc"
@@ -33,15 +34,6 @@
 
 // Intervals and timeouts of the background loops.
 const (
-	// operatorReadWait is how long a long poll waits for an operator record. An entry
-	// has to be up to date within 3 s of regaining its connection; in that time an
-	// unanswered poll must time out and the next one be answered.
-	operatorReadWait = 1200 * time.Millisecond
-	// operatorReadSlack is added to operatorReadWait for the timeout of the call.
-	operatorReadSlack = 600 * time.Millisecond
-	// operatorReadRetry is the pause after a failed read. A configuration has to be in
-	// force within 2 s of its acknowledgement.
-	operatorReadRetry = 150 * time.Millisecond
 	// vmListInterval is the pause between reads of the VM announcements: short against
 	// the 1.5 s that a move takes, and against the 2 s after which a draining VM must
 	// get no more work.
@@ -93,6 +85,7 @@
 	cfg          Config
 	link         *rpc.Endpoint
 	gateway      *gateway.Gateway
+	feed         *operatorfeed.Feed
 	poolIndex    *poolindex.Index
 	table        atomic.Pointer[queue.Table]
 	started      time.Time
@@ -127,12 +120,13 @@
 		owners: map[string]*owner.Owner{}, opening: map[string]bool{}, failedAt: map[string]time.Time{}, confirmedAt: now,
 		waves: map[int64]maintenance.Wave{}, evacuations: map[string]evacuation{}, reportRequested: make(chan struct{}, 1),
 	}
+	svc.feed = operatorfeed.New(operatorfeed.Config{Journal: cfg.Journal, Read: cfg.Directory.OperatorRecords, Apply: svc.applyOperatorRecord})
 	svc.poolIndex = poolindex.New(poolindex.Config{StateLog: cfg.StateLog, Journal: cfg.Journal})
 	svc.link.Handle(methodReport, svc.serveReport)
 	svc.link.Handle(methodOwnership, svc.serveOwnership)
 	svc.gateway = gateway.New(gateway.Config{
 		Address: cfg.PeerAddress, Partitions: cfg.Partitions, PeerEndpoint: svc.link, StateLog: cfg.StateLog, PoolIndex: svc.poolIndex,
-		Journal: cfg.Journal, LocalOwner: svc.Owner, IsConfirmed: svc.isMembershipConfirmed,
+		Journal: cfg.Journal, LocalOwner: svc.Owner, IsConfirmed: svc.isMembershipConfirmed, CatchUp: svc.feed.CatchUp,
 	})
 	if err := svc.link.Listen(cfg.PeerAddress); err != nil {
 		return nil, err
@@ -144,7 +138,7 @@
 		StateLog: cfg.StateLog, Journal: cfg.Journal, OnChange: svc.setPartitions,
 	})
 	svc.loops = []*loop.Loop{
-		loop.Start("wishes", svc.followOperator),
+		loop.Start("wishes", svc.feed.Run),
 		loop.Start("group", mbr.Run),
 		loop.Start("hosts", svc.followVMList),
 		loop.Every("reconcile", reconcileInterval, svc.reconcile),
@@ -227,48 +221,9 @@
 	svc.partitions, svc.confirmedAt, svc.hasJoined = parts, sent, true
 }
 
-// followOperator reads the operator's records until quit is closed.
-func (svc *Service) followOperator(quit <-chan struct{}) {
-	cursor := int64(directory.StartCursor)
-	isAnswering := true
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go func() {
-		<-quit
-		cancel()
-	}()
-	for ctx.Err() == nil {
-		callCtx, stop := context.WithTimeout(ctx, operatorReadWait+operatorReadSlack)
-		page, err := svc.cfg.Directory.OperatorRecords(callCtx, cursor, operatorReadWait)
-		stop()
-		now := time.Now()
-		if isAnswering != (err == nil) && ctx.Err() == nil {
-			isAnswering = err == nil
-			svc.logOperatorRead(now, err)
-		}
-		if err != nil {
-			select {
-			case <-ctx.Done():
-			case <-time.After(operatorReadRetry):
-			}
-			continue
-		}
-		cursor = page.Next
-		for _, rec := range page.Records {
-			svc.applyOperatorRecord(now, rec)
-		}
-	}
-}
-
-func (svc *Service) logOperatorRead(now time.Time, err error) {
-	if err == nil {
-		svc.cfg.Journal.Event(now, "operatorRegained")
-		return
-	}
-	svc.cfg.Journal.Warn(now, "operatorUnread", slog.String("error", err.Error()))
-}
-
-func (svc *Service) applyOperatorRecord(now time.Time, rec directory.OperatorRecord) {
+// applyOperatorRecord applies an operator record. A table that is not the next one after the last is
+// applied as one of which the earlier routes are not known.
+func (svc *Service) applyOperatorRecord(now time.Time, rec directory.OperatorRecord, isNext bool) {
 	switch {
 	case rec.Err != nil:
 		svc.cfg.Journal.Warn(now, "wishUnreadable", slog.String("error", rec.Err.Error()))
@@ -284,16 +239,20 @@
 		if old != nil && old.Version() >= rec.Table.Version() {
 			return
 		}
-		svc.gateway.SetTable(now, rec.Table)
-		svc.table.Store(rec.Table)
-		svc.cfg.Journal.Event(now, "configInForce", slog.Int64("version", rec.Table.Version()))
+		tab := rec.Table
+		if isNext {
+			tab = tab.After(old)
+		}
+		svc.gateway.SetTable(now, tab)
+		svc.table.Store(tab)
+		svc.cfg.Journal.Event(now, "configInForce", slog.Int64("version", tab.Version()), slog.Bool("isNext", isNext))
 		svc.mu.Lock()
 		defer svc.mu.Unlock()
-		if old == nil || !slices.Equal(old.Pools(), rec.Table.Pools()) {
+		if old == nil || !slices.Equal(old.Pools(), tab.Pools()) {
 			svc.poolsChangedAt = now
 		}
 		for _, own := range svc.owners {
-			own.SetTable(rec.Table)
+			own.SetTable(tab)
 		}
 	}
 }
--- a/internal/schedule/service/service_test.go
+++ b/internal/schedule/service/service_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -45,6 +46,8 @@
 	entries   []*service.Service
 	addresses []string // peer addresses of the entries
 	table     atomic.Pointer[queue.Table]
+	tables    tableLog
+	late      atomic.Int32 // entry whose long polls for configurations get no answer, or noEntry
 	off       atomic.Bool  // the VMs of pool are off
 	odd       atomic.Bool  // the announcement of vm-0 and one that names no VM can't be read
 	cut       atomic.Int32 // entry whose joins fail, or noEntry or allEntries
@@ -68,6 +71,7 @@
 	}, hosts)}
 	ste.store = logstore.New(logstore.Config{})
 	ste.cut.Store(noEntry)
+	ste.late.Store(noEntry)
 	ste.putTable(1, passes)
 	for range entries {
 		ste.startEntry(entryMilliCores)
@@ -87,7 +91,7 @@
 	}
 	svc, err := service.Start(time.Now(), service.Config{
 		Name: fmt.Sprintf("entry-%d", len(ste.entries)), PeerAddress: address, Partitions: 16, MilliCores: milliCores,
-		MaxLease: 6 * time.Second, StatusRetention: time.Minute, StateLog: ste.stateLog(len(ste.entries)), Directory: ste.directory(), Agent: ste.fleet.Agent(),
+		MaxLease: 6 * time.Second, StatusRetention: time.Minute, StateLog: ste.stateLog(len(ste.entries)), Directory: ste.directory(len(ste.entries)), Agent: ste.fleet.Agent(),
 		Journal: journal.New(journal.Config{}), Metrics: metrics.NewSet(),
 	})
 	if err != nil {
@@ -187,14 +191,45 @@
 
 // putTable puts a version of the configuration in force.
 func (ste *site) putTable(version int64, queues ...queue.Queue) {
-	ste.table.Store(queue.NewTable(version, queues, []queue.Pool{{Name: pool}, {Name: otherPool}}))
+	ste.put(queue.NewTable(version, queues, []queue.Pool{{Name: pool}, {Name: otherPool}}))
+}
+
+func (ste *site) put(tab *queue.Table) {
+	ste.table.Store(tab)
+	ste.tables.add(tab)
+}
+
+// tableLog holds all versions of the configuration.
+type tableLog struct {
+	mu   sync.Mutex
+	tabs []*queue.Table
+}
+
+func (log *tableLog) add(tab *queue.Table) {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	log.tabs = append(log.tabs, tab)
+}
+
+// page returns the versions from the offset on; from directory.StartCursor on only the last one.
+func (log *tableLog) page(cursor int64) directory.OperatorPage {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	page := directory.OperatorPage{Next: int64(len(log.tabs)), IsSnapshot: cursor == directory.StartCursor}
+	if page.IsSnapshot {
+		cursor = page.Next - 1
+	}
+	for _, tab := range log.tabs[cursor:] {
+		page.Records = append(page.Records, directory.OperatorRecord{Table: tab})
+	}
+	return page
 }
 
 // awaitTable waits until all entries have read the configuration in force.
 func (ste *site) awaitTable() {
 	ste.t.Helper()
 	for _, svc := range ste.entries {
-		for limit := time.Now().Add(testTimeout); svc.Table() != ste.table.Load(); time.Sleep(5 * time.Millisecond) {
+		for limit := time.Now().Add(testTimeout); svc.Table() == nil || svc.Table().Version() != ste.table.Load().Version(); time.Sleep(5 * time.Millisecond) {
 			if time.Now().After(limit) {
 				ste.t.Fatal("an entry does not read the configuration")
 			}
@@ -202,7 +237,7 @@
 	}
 }
 
-func (ste *site) directory() directory.Client {
+func (ste *site) directory(entry int) directory.Client {
 	return directory.Client{
 		Hosts: func(_ context.Context, cursor int64) (directory.HostPage, error) {
 			page := directory.HostPage{IsSnapshot: cursor == directory.StartCursor, Next: 1}
@@ -224,11 +259,12 @@
 		},
 		OperatorRecords: func(ctx context.Context, cursor int64, wait time.Duration) (directory.OperatorPage, error) {
 			for limit := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
-				if tab := ste.table.Load(); tab.Version() > cursor {
-					return directory.OperatorPage{Records: []directory.OperatorRecord{{Table: tab}}, Next: tab.Version()}, nil
+				if ste.late.Load() == int32(entry) && wait > 0 {
+					<-ctx.Done()
+					return directory.OperatorPage{}, ctx.Err()
 				}
-				if ctx.Err() != nil || time.Now().After(limit) {
-					return directory.OperatorPage{Next: cursor}, ctx.Err()
+				if page := ste.tables.page(cursor); len(page.Records) > 0 || !time.Now().Before(limit) || ctx.Err() != nil {
+					return page, ctx.Err()
 				}
 			}
 		},
@@ -488,7 +524,7 @@
 	}
 	moved := passes
 	moved.Pool = otherPool
-	ste.table.Store(queue.NewTable(2, []queue.Queue{moved}, []queue.Pool{{Name: otherPool}}))
+	ste.put(queue.NewTable(2, []queue.Queue{moved}, []queue.Pool{{Name: otherPool}}))
 	ste.awaitTable()
 	ste.stop()
 	ste.entries = nil
@@ -519,7 +555,7 @@
 	}
 	moved := passes
 	moved.Pool = otherPool
-	ste.table.Store(queue.NewTable(2, []queue.Queue{moved}, []queue.Pool{{Name: pool, IsStandby: true}, {Name: otherPool}}))
+	ste.put(queue.NewTable(2, []queue.Queue{moved}, []queue.Pool{{Name: pool, IsStandby: true}, {Name: otherPool}}))
 	ste.off.Store(true)
 	for _, hst := range ste.fleet.Hosts() {
 		if hst.Pool == pool {
