Repeat an order only for a machine that is still evacuated

The owner had lifted the evacuations meanwhile, 4 s after the last answer, and given the machines tasks again.

That a machine had been evacuated for the first attempt was taken for good as long as its incarnation stayed. Now each order, also a repeated one, rests on a recent report that the VM is evacuated, or on a recent list, requested after the last outcome, that shows the machine down. The rule is in one place (isFreeOfTasks), and sendOrder checks the age again when the order leaves, on the clock that also counts suspensions. Reports on the pools of an entry are made when they are sent, and the 4 s count from then.

--- a/internal/schedule/fleetcontroller/fleetcontroller.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller.go
@@ -18,6 +18,7 @@
 	"daisywheel/internal/fleet/directory"
 	"daisywheel/internal/fleet/maintenance"
 	"daisywheel/internal/fleet/queue"
+	"daisywheel/internal/kernel/boottime"
 	"daisywheel/internal/kernel/loop"
 	"daisywheel/internal/schedule/claim"
 	"daisywheel/internal/schedule/statelog"
@@ -34,8 +35,12 @@
 	// minRoundPause is the shortest pause between rounds that a report makes due early.
 	minRoundPause = 20 * time.Millisecond
 	// maxReportAge is the age above which a pool's report is not used to plan moves or to
-	// decide that a VM is evacuated.
+	// decide that a VM is evacuated. An owner keeps a VM closed for 4 s after the report, and the order
+	// may take callTimeout.
 	maxReportAge = 1500 * time.Millisecond
+	// maxOrderListAge is the age above which a machine list does not show that nothing runs on a
+	// machine. A new VM gets its first task some 0.3 s after its machine is up.
+	maxOrderListAge = 2 * listInterval
 	// listInterval is the time between machine lists while operations are in progress,
 	// VMs are missing or a wave waits for machines that are not listed. The platform accepts
 	// only few list calls a second from all entries together.
@@ -83,6 +88,9 @@
 	Directory  directory.Client
 	Journal    *journal.Journal
 	Table      func() *queue.Table
+	// SinceBoot is a clock that also counts the time for which the machine was suspended; nil
+	// stands for boottime.Now.
+	SinceBoot func() time.Duration
 }
 
 // Controller is the fleet controller for one term. It is safe for concurrent use.
@@ -107,8 +115,9 @@
 	reports         map[string]report
 	arrivals        *arrivals.Arrivals
 	machines        map[string]directory.Machine // by name
-	listedAt        time.Time
-	operations      map[string]*operation // by machine
+	listedAt        time.Time                    // when the last list was requested
+	listedSinceBoot time.Duration                // the same
+	operations      map[string]*operation        // by machine
 	waves           map[int64]*wave
 	// unrecorded is maintenance that is done but not yet stored as done.
 	unrecorded     []*operation
@@ -121,14 +130,19 @@
 }
 
 type report struct {
-	pool    balance.Pool
-	at      time.Time
-	missing map[string]missingVM // by id: the unresponsive VMs
+	pool balance.Pool
+	at   time.Time
+	// sinceBoot is when the report arrived.
+	sinceBoot time.Duration
+	missing   map[string]missingVM // by id: the unresponsive VMs
 }
 
 // Open claims the fleet, restores the maintenance that has started and runs the
 // controller until Close.
 func Open(ctx context.Context, now time.Time, cfg Config) (*Controller, error) {
+	if cfg.SinceBoot == nil {
+		cfg.SinceBoot = boottime.Now
+	}
 	clm, err := claim.Acquire(ctx, cfg.StateLog, ClaimName, cfg.Address)
 	if err != nil {
 		return nil, err
@@ -211,7 +225,7 @@
 	if ctl.isUrgent(pol) {
 		ctl.requestRound()
 	}
-	rpt := report{pool: pol, at: now, missing: last.nextMissing(now, pol)}
+	rpt := report{pool: pol, at: now, sinceBoot: ctl.cfg.SinceBoot(), missing: last.nextMissing(now, pol)}
 	ctl.reports[pol.Name] = rpt
 	ctl.arrivals.Observe(now, pol.Name, pol.Arrived)
 	inOperation := make(map[string]*operation, len(ctl.operations))
--- a/internal/schedule/fleetcontroller/fleetcontroller_test.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller_test.go
@@ -50,6 +50,8 @@
 	// maintained has the waves and machines whose maintenance has been ordered. A repeated
 	// order is reported as done and has no effect.
 	maintained map[string]bool
+	// isSilent is set while maintenance orders are neither carried out nor answered.
+	isSilent bool
 	// outcomeOf, if set, is called for each maintenance order and returns its outcome.
 	outcomeOf func(machine string) directory.OrderOutcome
 	// listDelay is the time between the reading of a list and its delivery.
@@ -130,9 +132,13 @@
 		Maintain: func(_ context.Context, machine string, wave int64, holder string, token int64) (directory.OrderOutcome, error) {
 			plt.mu.Lock()
 			pool, key := plt.pools[machine], fmt.Sprint(wave, "/", machine)
+			plt.attempts = append(plt.attempts, order{time.Now(), machine, holder, token})
+			if plt.isSilent {
+				plt.mu.Unlock()
+				return directory.OrderUnknown, nil
+			}
 			isDone, outcomeOf := plt.maintained[key], plt.outcomeOf
 			plt.maintained[key] = true
-			plt.attempts = append(plt.attempts, order{time.Now(), machine, holder, token})
 			plt.mu.Unlock()
 			out := directory.OrderDone
 			if !isDone {
@@ -234,6 +240,10 @@
 func openControllerWithConfig(t *testing.T, log *logstore.Store, cfg fleetcontroller.Config) *fleetcontroller.Controller {
 	t.Helper()
 	tab := queue.NewTable(1, nil, []queue.Pool{{Name: "gate"}, {Name: "haul"}})
+	began := time.Now()
+	if cfg.SinceBoot == nil {
+		cfg.SinceBoot = func() time.Duration { return time.Since(began) }
+	}
 	cfg.Address, cfg.OrderLease, cfg.StateLog, cfg.Table = cfg.Holder, orderLease, log.Client(), func() *queue.Table { return tab }
 	ctl, err := fleetcontroller.Open(t.Context(), time.Now(), cfg)
 	if err != nil {
--- a/internal/schedule/fleetcontroller/machines.go
+++ b/internal/schedule/fleetcontroller/machines.go
@@ -74,6 +74,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
+	sinceBoot := ctl.cfg.SinceBoot()
 	all, err := ctl.cfg.Directory.Machines(ctx)
 	if err != nil {
 		ctl.cfg.Journal.Warn(now, "machinesUnlisted", slog.String("error", err.Error()))
@@ -81,7 +82,7 @@
 	}
 	ctl.mu.Lock()
 	defer ctl.mu.Unlock()
-	ctl.listedAt = now
+	ctl.listedAt, ctl.listedSinceBoot = now, sinceBoot
 	clear(ctl.machines)
 	unreadable := 0
 	for _, mac := range all {
--- a/internal/schedule/fleetcontroller/operation.go
+++ b/internal/schedule/fleetcontroller/operation.go
@@ -9,17 +9,19 @@
 
 // operation is a move or the maintenance of one machine.
 type operation struct {
-	machine     string
-	vm          string // its incarnation when the operation started
-	pool        string // target pool of a move, empty for maintenance
-	wave        int64  // number of the maintenance wave, 0 for a move
-	startedAt   time.Time
-	askedAt     time.Time // when the owner was first told to evacuate vm for this operation
-	evacuatedVM string    // the incarnation that was evacuated when the last order was sent
-	outcomeAt   time.Time // when the outcome of the last order arrived
-	isOrdered   bool      // an order was carried out, or may have been
-	isExecuted  bool      // an order was carried out; the machine is not up again yet
-	isInFlight  bool      // an order is in flight
+	machine   string
+	vm        string // its incarnation when the operation started
+	pool      string // target pool of a move, empty for maintenance
+	wave      int64  // number of the maintenance wave, 0 for a move
+	startedAt time.Time
+	askedAt   time.Time // when the owner was first told to evacuate vm for this operation
+	outcomeAt time.Time // when the outcome of the last order arrived
+	// knownAt is when what the next order rests on became known: the report that vm is evacuated, or
+	// the list that shows nothing running on the machine.
+	knownAt    time.Duration // since boot
+	isOrdered  bool          // an order was carried out, or may have been
+	isExecuted bool          // an order was carried out; the machine is not up again yet
+	isInFlight bool          // an order is in flight
 	// isRestored is set when an earlier fleet controller may have sent the order.
 	isRestored bool
 	absence    absence // from the last machine lists
@@ -69,7 +71,7 @@
 // expireOperations cancels operations that take too long: the VM cannot be evacuated, or
 // the machine is not up again after a move.
 func (ctl *Controller) expireOperations(now time.Time) {
-	load, evacuatedAt := ctl.load(), ctl.evacuatedVMs(now)
+	load, evacuated := ctl.load(), ctl.evacuatedVMs()
 	for name, opr := range ctl.operations {
 		age, limit := now.Sub(opr.startedAt), evacuationTimeout
 		if load[opr.vm].LongRunning > 0 {
@@ -78,7 +80,7 @@
 		switch {
 		case opr.isInFlight || opr.isRestored:
 			continue
-		case opr.wave == 0 && (age > moveTimeout || !opr.isOrdered && age > moveEvacuationTimeout && !opr.isEvacuated(evacuatedAt)):
+		case opr.wave == 0 && (age > moveTimeout || !opr.isOrdered && age > moveEvacuationTimeout && !opr.isEvacuated(evacuated[opr.vm])):
 		case opr.wave > 0 && !opr.isOrdered && age > limit && ctl.isAnyEligible(now, ctl.waveOf(opr.wave)):
 			ctl.waveOf(opr.wave).retryAt[name] = now.Add(evacuationRetryDelay)
 		default:
@@ -91,18 +93,16 @@
 }
 
 // readyOperations returns the operations whose order can be sent now, the oldest first and
-// at most ordersPerRound, and marks them as in flight. The VM must be evacuated, unless it
-// is down after an earlier order or belongs to a standby pool.
+// at most ordersPerRound, and marks them as in flight.
 func (ctl *Controller) readyOperations(now time.Time) []*operation {
-	evacuatedAt := ctl.evacuatedVMs(now)
+	evacuated := ctl.evacuatedVMs()
 	var ready []*operation
 	for _, opr := range ctl.operations {
-		mac, ok := ctl.machines[opr.machine]
-		wasEvacuated := opr.isOrdered && opr.evacuatedVM == opr.vm
-		isEvacuated := opr.isEvacuated(evacuatedAt) || wasEvacuated || opr.isRestored && !mac.IsUp || ctl.isStandby(mac.Pool)
-		if !ok || ctl.isBlocked(now, opr.machine) || !isEvacuated || opr.isExecuted || opr.isInFlight || now.Sub(opr.outcomeAt) < orderRetryDelay {
+		knownAt, isFree := ctl.isFreeOfTasks(opr, evacuated)
+		if !isFree || ctl.isBlocked(now, opr.machine) || opr.isExecuted || opr.isInFlight || now.Sub(opr.outcomeAt) < orderRetryDelay {
 			continue
 		}
+		opr.knownAt = knownAt
 		ready = append(ready, opr)
 	}
 	slices.SortFunc(ready, func(one, two *operation) int {
@@ -110,33 +110,57 @@
 	})
 	ready = ready[:ctl.orderLimit.take(now, orderShare*ctl.cfg.OrderRate, len(ready))]
 	for _, opr := range ready {
-		opr.isInFlight, opr.evacuatedVM = true, opr.vm
+		opr.isInFlight = true
 	}
 	return ready
 }
 
+// isFreeOfTasks reports whether the machine is known to be free of tasks, and when that became known,
+// since boot. The VM must be evacuated, also for an order that is repeated: the owner lifts an
+// evacuation when it gets no answers. A machine that is not up after an earlier order, or whose pool
+// is on standby, has no VM.
+func (ctl *Controller) isFreeOfTasks(opr *operation, evacuated map[string]evacuation) (knownAt time.Duration, isFree bool) {
+	mac, ok := ctl.machines[opr.machine]
+	if !ok {
+		return 0, false
+	}
+	if evc := evacuated[opr.vm]; opr.isEvacuated(evc) {
+		return evc.sinceBoot, true
+	}
+	if ctl.isStandby(mac.Pool) {
+		return ctl.cfg.SinceBoot(), true
+	}
+	isDown := (opr.isOrdered || opr.isRestored) && !mac.IsUp && ctl.listedAt.After(opr.outcomeAt)
+	return ctl.listedSinceBoot, isDown && ctl.cfg.SinceBoot()-ctl.listedSinceBoot <= maxOrderListAge
+}
+
 // isEvacuated reports whether a recent report of the pool's owner shows that the VM was
 // evacuated for this operation. A report from before the owner was told may stem from an
 // earlier operation, for which the VM is not kept closed any more.
-func (opr *operation) isEvacuated(evacuatedAt map[string]time.Time) bool {
-	return !opr.askedAt.IsZero() && evacuatedAt[opr.vm].After(opr.askedAt)
+func (opr *operation) isEvacuated(evc evacuation) bool {
+	return !opr.askedAt.IsZero() && evc.at.After(opr.askedAt)
+}
+
+// evacuation is when a report arrived that shows a VM as evacuated.
+type evacuation struct {
+	at        time.Time
+	sinceBoot time.Duration
 }
 
-// evacuatedVMs returns the VMs that are evacuated according to recent reports of the
-// pools' owners, and when each report arrived.
-func (ctl *Controller) evacuatedVMs(now time.Time) map[string]time.Time {
-	evacuatedAt := map[string]time.Time{}
+// evacuatedVMs returns the VMs that are evacuated according to recent reports of the pools' owners.
+func (ctl *Controller) evacuatedVMs() map[string]evacuation {
+	evacuated := map[string]evacuation{}
 	for _, rpt := range ctl.reports {
-		if now.Sub(rpt.at) > maxReportAge {
+		if ctl.cfg.SinceBoot()-rpt.sinceBoot > maxReportAge {
 			continue
 		}
 		for _, vm := range rpt.pool.VMs {
 			if vm.IsEvacuating && vm.Tasks == 0 {
-				evacuatedAt[vm.ID] = rpt.at
+				evacuated[vm.ID] = evacuation{at: rpt.at, sinceBoot: rpt.sinceBoot}
 			}
 		}
 	}
-	return evacuatedAt
+	return evacuated
 }
 
 // ordersPerRound returns how many orders may be sent in a regular round.
--- a/internal/schedule/fleetcontroller/order.go
+++ b/internal/schedule/fleetcontroller/order.go
@@ -11,7 +11,6 @@
 	"github.com/cockroachdb/errors"
 
 	"daisywheel/internal/fleet/directory"
-	"daisywheel/internal/kernel/boottime"
 	"daisywheel/internal/schedule/statelog"
 )
 
@@ -84,7 +83,7 @@
 // sendOrders stores the orders that are about to be sent and then sends them. The append
 // proves that this controller's term still lasts.
 func (ctl *Controller) sendOrders(now time.Time, ready []*operation) {
-	provenAt := boottime.Now()
+	provenAt := ctl.cfg.SinceBoot()
 	if err := ctl.storeOrders(ready); err != nil {
 		ctl.mu.Lock()
 		for _, opr := range ready {
@@ -154,16 +153,19 @@
 	return append(recs, rec), err
 }
 
-// sendOrder sends the order for one machine, unless the proof of the term, taken at
-// provenAt since boot, is older than maxProofAge.
+// sendOrder sends the order for one machine, unless what it rests on is too old: the proof of the
+// term, taken at provenAt since boot, or the knowledge that the machine is free of tasks.
 func (ctl *Controller) sendOrder(opr *operation, provenAt time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	var out directory.OrderOutcome
 	var err error
+	sinceBoot := ctl.cfg.SinceBoot()
 	switch {
-	case boottime.Now()-provenAt > maxProofAge:
+	case sinceBoot-provenAt > maxProofAge:
 		out, err = directory.OrderThrottled, errors.New("last proof that the term lasts is too old")
+	case sinceBoot-opr.knownAt > maxReportAge:
+		out, err = directory.OrderThrottled, errors.New("last report that the VM is evacuated is too old")
 	case opr.wave > 0:
 		out, err = ctl.cfg.Directory.Maintain(ctx, opr.machine, opr.wave, ctl.cfg.Holder, ctl.clm.FencingToken())
 	default:
@@ -172,6 +174,7 @@
 	now := time.Now()
 	attrs := []slog.Attr{
 		slog.String("machine", opr.machine), slog.Int64("wave", opr.wave), slog.String("pool", opr.pool), slog.Int("outcome", int(out)),
+		slog.Duration("known", sinceBoot-opr.knownAt),
 	}
 	if err != nil {
 		attrs = append(attrs, slog.String("error", err.Error()))
--- /dev/null
+++ b/internal/schedule/fleetcontroller/repeatedorder_test.go
@@ -0,0 +1,98 @@
+package fleetcontroller_test
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"daisywheel/internal/event/journal"
+	"daisywheel/internal/fleet/maintenance"
+	"daisywheel/internal/schedule/fleetcontroller"
+	"daisywheel/internal/standin/logstore"
+)
+
+// orderWithoutAnswers orders two evacuated machines of a wave while the platform neither carries out
+// nor answers orders.
+func orderWithoutAnswers(t *testing.T, plt *fakePlatform, ctl *fleetcontroller.Controller) {
+	t.Helper()
+	plt.isSilent = true
+	ctl.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: []string{"gate-0", "gate-1"}, Cap: 2, Within: time.Minute})
+	plt.runFor(ctl, 0, 2*time.Second)
+	if plt.attemptCount() < 2 {
+		t.Fatalf("%d orders sent, want 2 or more", plt.attemptCount())
+	}
+}
+
+func (plt *fakePlatform) attemptCount() int {
+	plt.mu.Lock()
+	defer plt.mu.Unlock()
+	return len(plt.attempts)
+}
+
+func (plt *fakePlatform) orderCount() int {
+	plt.mu.Lock()
+	defer plt.mu.Unlock()
+	return len(plt.orders)
+}
+
+func (plt *fakePlatform) setSilent(isSilent bool) {
+	plt.mu.Lock()
+	defer plt.mu.Unlock()
+	plt.isSilent = isSilent
+}
+
+// Guards against upkeep that ends more tasks of a step than may be missed: orders without an answer
+// were repeated after the owner had given the machines tasks again.
+func TestOrderIsRepeatedOnlyForAMachineThatIsEvacuated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
+		ctl := openController(t, log, plt, "first")
+		orderWithoutAnswers(t, plt, ctl)
+		time.Sleep(5 * time.Second) // without reports; owners lift evacuations after 4 s
+		clear(plt.evacuating)
+		plt.isBusy = map[string]bool{"gate-0": true, "gate-1": true}
+		plt.setSilent(false)
+		time.Sleep(time.Second)
+		if plt.orderCount() > 0 {
+			t.Errorf("%d machines ordered by reports of over 5 s before", plt.orderCount())
+		}
+		plt.runFor(ctl, 0, 2*time.Second)
+		if plt.orderCount() > 0 {
+			t.Errorf("%d machines ordered with tasks at work", plt.orderCount())
+		}
+		plt.isBusy = map[string]bool{"gate-1": true}
+		plt.runFor(ctl, 0, 5*time.Second)
+		if plt.orderCount() != 1 || plt.firstOrderAt("gate-0").IsZero() {
+			t.Errorf("%d machines ordered, want gate-0, which is evacuated again", plt.orderCount())
+		}
+		ctl.Close()
+	})
+}
+
+// The entry of the fleet controller was suspended after a report that a VM is evacuated. The owner has
+// lifted the evacuation meanwhile.
+func TestOrderIsNotSentByAReportFromBeforeASuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
+		began := time.Now()
+		var suspended atomic.Int64
+		ctl := openControllerWithConfig(t, log, fleetcontroller.Config{
+			Holder: "first", OrderRate: orderRate, Directory: plt.directory(), Journal: journal.New(journal.Config{}),
+			SinceBoot: func() time.Duration { return time.Since(began) + time.Duration(suspended.Load()) },
+		})
+		orderWithoutAnswers(t, plt, ctl)
+		before := plt.attemptCount()
+		suspended.Store(int64(6 * time.Second))
+		time.Sleep(time.Second)
+		if after := plt.attemptCount(); after > before {
+			t.Errorf("%d orders sent by reports from before the suspension", after-before)
+		}
+		plt.setSilent(false)
+		plt.runFor(ctl, 0, 3*time.Second)
+		if plt.orderCount() != 2 {
+			t.Errorf("%d machines ordered by reports from after the suspension, want 2", plt.orderCount())
+		}
+		ctl.Close()
+	})
+}
--- a/internal/schedule/service/fleet.go
+++ b/internal/schedule/service/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"maps"
 	"time"
 
 	"daisywheel/internal/fleet/arrivals"
@@ -34,7 +35,7 @@
 // the pool's last report.
 type evacuation struct {
 	vms map[string]bool
-	at  time.Time
+	at  time.Time // when the report was sent
 }
 
 // reconcileController opens or closes the fleet controller. The caller holds the lock.
@@ -82,17 +83,16 @@
 }
 
 // report sends the state of the owned pools to the fleet controller and applies its
-// replies, which name the VMs to evacuate.
-func (svc *Service) report(now time.Time) {
+// replies, which name the VMs to evacuate. Each report has the state as it is when it is sent, as the
+// one before may have taken reportTimeout.
+func (svc *Service) report(time.Time) {
 	svc.mu.Lock()
-	pools := make(map[*owner.Owner]balance.Pool, len(svc.owners))
-	for _, own := range svc.owners {
-		pools[own] = own.BalanceInput(now)
-	}
+	owners := maps.Clone(svc.owners)
 	svc.mu.Unlock()
-	for own, pol := range pools {
-		rpl, err := svc.sendReport(now, pol)
-		svc.applyReportReply(now, own, pol.Name, rpl, err)
+	for pool, own := range owners {
+		now := time.Now()
+		rpl, err := svc.sendReport(now, own.BalanceInput(now))
+		svc.applyReportReply(now, own, pool, rpl, err)
 	}
 }
 
@@ -104,7 +104,7 @@
 	}
 }
 
-// applyReportReply applies the reply to a report of the owner, or its lack.
+// applyReportReply applies the reply to a report that the owner sent at now, or its lack.
 func (svc *Service) applyReportReply(now time.Time, own *owner.Owner, pool string, rpl reportReplyJSON, err error) {
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
