Say that there is no such job only by the present route

The owner of the former pool answered that it does not know the job, though the request named a version from before the queue's route. It now answers staleRoute to states and cancels of unknown jobs as it does to new submissions, and the sender asks again by the present route. An entry that owns the former pool itself would not be told: so an entry says that there is no such job only after it has read the configuration once more.

--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -165,31 +165,36 @@
 	if err != nil {
 		return fault.Wrap(err, code.BadShape, "job cannot be stored")
 	}
-	_, err = gtw.byRoute(ctx, que, func(que queue.Queue) (reply, error) {
+	_, err = gtw.byRoute(ctx, now, que, func(que queue.Queue) (reply, error) {
 		isAccepted, err := gtw.isAcceptedBefore(ctx, now, que, pln.ID)
 		if isAccepted || err != nil {
-			return reply{}, err
+			return reply{IsFound: isAccepted}, err
 		}
 		req := newRequest(que.Pool, que, "")
 		req.Job = job
-		return gtw.call(ctx, methodSubmit, req, func(own *owner.Owner) (reply, error) {
+		_, err = gtw.call(ctx, methodSubmit, req, func(own *owner.Owner) (reply, error) {
 			return reply{}, own.Submit(ctx, now, pln, que.Ref())
 		})
+		return reply{IsFound: err == nil}, err
 	})
 	return err
 }
 
-// byRoute makes a request by the queue's present route, and again if an owner answers that the
-// queue has been rerouted since the version of that route.
-func (gtw *Gateway) byRoute(ctx context.Context, que queue.Queue, send func(que queue.Queue) (reply, error)) (reply, error) {
+// byRoute makes a request by the queue's route, and again if that may not have been the present one when
+// the request came: an owner says that the queue has been rerouted since, or no job is found.
+func (gtw *Gateway) byRoute(ctx context.Context, now time.Time, que queue.Queue, send func(que queue.Queue) (reply, error)) (reply, error) {
 	for {
 		rep, err := send(que)
 		isStale := fault.CodeOf(err) == code.StaleRoute
-		if !isStale && !isNotOwner(err) {
+		isUnknown := err == nil && !rep.IsFound
+		if !isStale && !isUnknown && !isNotOwner(err) {
 			return rep, err
 		}
 		if isStale {
-			if err := gtw.catchUp(ctx); err != nil {
+			now = time.Now()
+		}
+		if isStale || isUnknown {
+			if err := gtw.catchUp(ctx, now); err != nil {
 				return reply{}, fault.Wrap(err, code.LogUnavailable, "route of the queue %s", que.Name)
 			}
 		}
@@ -204,13 +209,14 @@
 	}
 }
 
-func (gtw *Gateway) catchUp(ctx context.Context) error {
+// catchUp returns once this entry has applied all configurations that were stored at now.
+func (gtw *Gateway) catchUp(ctx context.Context, now time.Time) error {
 	if gtw.cfg.CatchUp == nil {
 		return nil
 	}
 	ctx, cancel := gtw.limitIfCutOff(ctx)
 	defer cancel()
-	return gtw.cfg.CatchUp(ctx, time.Now())
+	return gtw.cfg.CatchUp(ctx, now)
 }
 
 // presentRoute returns the queue as the configuration in force has it.
@@ -316,6 +322,15 @@
 // answer, the state log is read, so that a job is reported as missing only if it is
 // not stored.
 func (gtw *Gateway) State(ctx context.Context, que queue.Queue, id string) (ste jobrecord.State, found bool, err error) {
+	rep, err := gtw.byRoute(ctx, time.Now(), que, func(que queue.Queue) (reply, error) {
+		ste, found, err := gtw.stateByRoute(ctx, que, id)
+		return reply{IsFound: found, State: ste}, err
+	})
+	return rep.State, rep.IsFound, err
+}
+
+// stateByRoute is State by one route of the queue.
+func (gtw *Gateway) stateByRoute(ctx context.Context, que queue.Queue, id string) (ste jobrecord.State, found bool, err error) {
 	ste, found, err = gtw.stateIn(ctx, newRequest(que.Pool, que, id))
 	if found || err != nil {
 		return ste, found, err
@@ -361,8 +376,11 @@
 	if err == nil && rep.IsFound {
 		return rep.State, true, nil
 	}
-	if fault.CodeOf(err) == code.UnknownJob {
+	switch fault.CodeOf(err) {
+	case code.UnknownJob:
 		return 0, false, nil // another queue has it
+	case code.StaleRoute:
+		return 0, false, err
 	}
 	part := group.PartitionOf(req.Pool, gtw.cfg.Partitions)
 	ctx, cancel := gtw.limitIfCutOff(ctx)
@@ -380,6 +398,15 @@
 
 // Cancel cancels a job. It reports false when there is no such job.
 func (gtw *Gateway) Cancel(ctx context.Context, now time.Time, que queue.Queue, id string) (found bool, err error) {
+	rep, err := gtw.byRoute(ctx, now, que, func(que queue.Queue) (reply, error) {
+		found, err := gtw.cancelByRoute(ctx, now, que, id)
+		return reply{IsFound: found}, err
+	})
+	return rep.IsFound, err
+}
+
+// cancelByRoute is Cancel by one route of the queue.
+func (gtw *Gateway) cancelByRoute(ctx context.Context, now time.Time, que queue.Queue, id string) (found bool, err error) {
 	found, err = gtw.cancelIn(ctx, now, newRequest(que.Pool, que, id))
 	if found || err != nil {
 		return found, err
@@ -629,7 +656,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return stateOf(own, req)
+	rep, err := stateOf(own, req)
+	return rep, req.refusal(err)
 }
 
 func stateOf(own *owner.Owner, req request) (reply, error) {
@@ -648,7 +676,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	found, err := own.Cancel(ctx, time.Now(), req.queue(), req.ID)
-	return reply{IsFound: found}, err
+	return reply{IsFound: found}, req.refusal(err)
 }
 
 func (gtw *Gateway) serveQueued(ctx context.Context, params json.RawMessage) (any, error) {
--- a/internal/schedule/owner/requests.go
+++ b/internal/schedule/owner/requests.go
@@ -149,7 +149,8 @@
 
 // State returns the stored state of a job, Queued for a submission that is still
 // being stored. It reports false when the owner knows neither, and fails with code
-// UnknownJob if another queue has the job.
+// UnknownJob if another queue has the job. A job that is not known to it may be in another pool if the
+// request was routed by an old configuration; then it fails with code StaleRoute.
 func (own *Owner) State(que queue.Ref, id string) (ste jobrecord.State, ok bool, err error) {
 	own.mu.Lock()
 	defer own.mu.Unlock()
@@ -165,12 +166,14 @@
 	if hnd, isLeaving := own.handovers[id]; isLeaving {
 		return hnd.record.Progress.State, true, nil
 	}
-	ste, ok = own.sch.State(id)
+	if ste, ok = own.sch.State(id); !ok && own.isRoutedByOldConfig(que) {
+		return 0, false, newStaleRoute(que)
+	}
 	return ste, ok, nil
 }
 
 // Cancel cancels a job and returns when that is stored. It reports false when there
-// is no such job, and fails with code UnknownJob if another queue has it.
+// is no such job, and fails with the codes UnknownJob and StaleRoute as State does.
 func (own *Owner) Cancel(ctx context.Context, now time.Time, que queue.Ref, id string) (found bool, err error) {
 	own.mu.Lock()
 	if own.isEnding() {
@@ -195,6 +198,10 @@
 		own.mu.Lock()
 	}
 	found = own.sch.Cancel(now, id)
+	if !found && own.isRoutedByOldConfig(que) {
+		own.mu.Unlock()
+		return false, newStaleRoute(que)
+	}
 	stored := make(chan struct{})
 	if found {
 		own.waiters = append(own.waiters, stored)
--- a/internal/schedule/service/reroute_test.go
+++ b/internal/schedule/service/reroute_test.go
@@ -15,30 +15,51 @@
 	"daisywheel/internal/schedule/service"
 )
 
-// startRerouting starts entries until both pools have owners, and returns them with an entry that owns
-// neither.
+// startRerouting starts entries until the two pools have different owners, and returns these with an
+// entry that owns neither.
 func startRerouting(t *testing.T) (ste *site, gate, mill, other *service.Service) {
 	t.Helper()
-	ste = startSite(t, 3)
-	for limit := time.Now().Add(testTimeout); gate == nil || mill == nil; time.Sleep(10 * time.Millisecond) {
+	for range 5 {
+		ste = startSite(t, 3)
+		gate, mill = ste.awaitOwnerOf(pool), ste.awaitOwnerOf(otherPool)
 		for _, svc := range ste.entries {
-			if svc.Owner(pool) != nil {
-				gate = svc
-			}
-			if svc.Owner(otherPool) != nil {
-				mill = svc
+			if svc != gate && svc != mill {
+				other = svc
 			}
 		}
-		if time.Now().After(limit) {
-			t.Fatal("a pool has no owner")
+		if gate != mill {
+			return ste, gate, mill, other
+		}
+		ste.stop()
+	}
+	t.Fatal("one entry owns both pools")
+	return nil, nil, nil, nil
+}
+
+// awaitOwnerOf returns the entry that owns the pool.
+func (ste *site) awaitOwnerOf(pool string) *service.Service {
+	ste.t.Helper()
+	for limit := time.Now().Add(testTimeout); time.Now().Before(limit); time.Sleep(10 * time.Millisecond) {
+		for _, svc := range ste.entries {
+			if svc.Owner(pool) != nil {
+				return svc
+			}
 		}
 	}
+	ste.t.Fatalf("the pool %s has no owner", pool)
+	return nil
+}
+
+// settle lets all entries read which pools have jobs of the queues, for the last time before the
+// configuration changes.
+func (ste *site) settle() {
+	ste.t.Helper()
+	time.Sleep(5500 * time.Millisecond)
 	for _, svc := range ste.entries {
-		if svc != gate && svc != mill {
-			other = svc
+		if _, found, err := svc.Gateway().State(ste.t.Context(), passes, job(99).ID); found || err != nil {
+			ste.t.Fatalf("state of an unknown job: found %v (%v)", found, err)
 		}
 	}
-	return ste, gate, mill, other
 }
 
 // setLate sets whether an entry's long polls for configurations get no answer.
@@ -68,8 +89,9 @@
 	return pln
 }
 
-func rerouted(que queue.Queue, pool string) queue.Queue {
-	que.Pool = pool
+// rerouted returns the queue with the other pool.
+func rerouted(que queue.Queue) queue.Queue {
+	que.Pool = otherPool
 	return que
 }
 
@@ -79,7 +101,7 @@
 	ste, gate, mill, other := startRerouting(t)
 	ste.setLate(other)
 	first := ste.queueAt(passes)
-	ste.putTable(2, rerouted(passes, otherPool))
+	ste.putTable(2, rerouted(passes))
 	ste.awaitTableAt(gate)
 	ste.awaitTableAt(mill)
 	ste.submit(mill, oneTask())
@@ -106,7 +128,7 @@
 // not ready.
 func TestStaleRouteIsNotReadyToEarlierVersions(t *testing.T) {
 	ste, gate, _, _ := startRerouting(t)
-	ste.putTable(2, rerouted(passes, otherPool))
+	ste.putTable(2, rerouted(passes))
 	ste.awaitTable()
 	job, err := jobrecord.EncodeJob(jobrecord.Job{Plan: oneTask(), Queue: passes.Name, Address: passes.Address()})
 	if err != nil {
@@ -131,3 +153,46 @@
 	ste.stop()
 	ste.checkInvariants()
 }
+
+// Guards against a cancel that is answered as if there were no such job, which goes on: its queue went to
+// another pool, and the entry that is asked has not read of it.
+func TestJobIsFoundByAnEntryWithAnOldConfiguration(t *testing.T) {
+	ste, gate, mill, other := startRerouting(t)
+	ste.settle()
+	ste.setLate(other)
+	first := ste.queueAt(passes)
+	ste.putTable(2, rerouted(passes))
+	ste.awaitTableAt(gate)
+	ste.awaitTableAt(mill)
+	ste.submit(mill, oneTask())
+	if version := other.Table().Version(); version != first.Version {
+		t.Fatalf("the late entry has read version %d", version)
+	}
+	if found, err := other.Gateway().Cancel(t.Context(), time.Now(), first, oneTask().ID); !found || err != nil {
+		t.Errorf("cancel: found %v (%v)", found, err)
+	}
+	ste.late.Store(noEntry)
+	ste.stop()
+	ste.checkInvariants()
+}
+
+// The same for an entry that owns the queue's former pool, so that no other entry could tell it: it reads the
+// newest configuration before it says that there is no such job.
+func TestJobIsFoundByAFormerOwnerWithAnOldConfiguration(t *testing.T) {
+	ste, gate, mill, _ := startRerouting(t)
+	ste.settle()
+	ste.setLate(gate)
+	first := ste.queueAt(passes)
+	ste.putTable(2, rerouted(passes))
+	ste.awaitTableAt(mill)
+	ste.submit(mill, oneTask())
+	if state, found, err := gate.Gateway().State(t.Context(), first, oneTask().ID); !found || err != nil {
+		t.Errorf("state %s, found %v (%v)", state, found, err)
+	}
+	if found, err := gate.Gateway().Cancel(t.Context(), time.Now(), first, oneTask().ID); !found || err != nil {
+		t.Errorf("cancel: found %v (%v)", found, err)
+	}
+	ste.late.Store(noEntry)
+	ste.stop()
+	ste.checkInvariants()
+}
