Let the former owner read of a queue's move before the new pool takes jobs

The entry that submits to the new pool asked only pools with jobs of the queue on record, and dropped the refusal of an owner that lags. It now asks the pools that lately had the queue too, with the version that took it away. An entry that is asked for a version that it lacks reads it at once, by a read that does not wait; from then on it refuses what was routed before. While such an owner lags, or for 5 s can't be reached, the submission is refused. A new owner reads the newest configuration after its claim.

TestFormerOwnerWithAnOldConfigurationAcceptsNoJob fails before: 2 starts, want 1, "runs on vm-3 and vm-0".

--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -8,10 +8,13 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"daisywheel/internal/event/journal"
 	"daisywheel/internal/fleet/queue"
 	"daisywheel/internal/job/plan"
@@ -49,6 +52,10 @@
 	// repeatTime is how long after a change of a queue's pool callers may repeat submissions
 	// that the former one has accepted.
 	repeatTime = time.Minute
+	// lagLimit is how long after a change of a queue's pool the owner of the former one may go by an
+	// earlier configuration, if it can't be asked: longer than it takes to replace an owner, and than a
+	// connected entry takes to read a configuration.
+	lagLimit = 5 * time.Second
 )
 
 // Names of the RPC methods between entries.
@@ -87,6 +94,9 @@
 	isLogReachable bool                  // the last lookup succeeded
 	table          *queue.Table          // in force; nil before the first
 	assignments    map[string]assignment // by address of the queue
+	// leftAt has, by address of the queue, the pools that lately had it, and when this entry learned
+	// that they have it no longer.
+	leftAt map[string]map[string]time.Time
 }
 
 // assignment is the pool of a queue since a version of the configuration, and since when this entry
@@ -99,7 +109,7 @@
 
 // New returns a Gateway and registers its RPC handlers on the peer endpoint.
 func New(cfg Config) *Gateway {
-	gtw := &Gateway{cfg: cfg, ownerAddresses: map[string]string{}, lookedUpAt: map[string]time.Time{}, isLogReachable: true}
+	gtw := &Gateway{cfg: cfg, leftAt: map[string]map[string]time.Time{}, ownerAddresses: map[string]string{}, lookedUpAt: map[string]time.Time{}, isLogReachable: true}
 	cfg.PeerEndpoint.Handle(methodSubmit, gtw.serveSubmit)
 	cfg.PeerEndpoint.Handle(methodState, gtw.serveState)
 	cfg.PeerEndpoint.Handle(methodCancel, gtw.serveCancel)
@@ -120,9 +130,29 @@
 		}
 		next[que.Address()] = asg
 	}
+	for address, asg := range gtw.assignments {
+		if next[address].pool != asg.pool {
+			gtw.noteFormerPool(now, address, asg.pool)
+		}
+	}
 	gtw.table, gtw.assignments = tab, next
 }
 
+// noteFormerPool notes that the pool has the queue no longer, and forgets what is older than
+// repeatTime. The caller holds the lock.
+func (gtw *Gateway) noteFormerPool(now time.Time, address, pool string) {
+	if gtw.leftAt[address] == nil {
+		gtw.leftAt[address] = map[string]time.Time{}
+	}
+	gtw.leftAt[address][pool] = now
+	for address, pools := range gtw.leftAt {
+		maps.DeleteFunc(pools, func(_ string, at time.Time) bool { return now.Sub(at) > repeatTime })
+		if len(pools) == 0 {
+			delete(gtw.leftAt, address)
+		}
+	}
+}
+
 // request holds the parameters of all methods.
 type request struct {
 	Pool    string          `json:"service"`
@@ -138,6 +168,9 @@
 	MinVersion int64 `json:"minVersion,omitempty"`
 	// Reroutes is set if the sender knows the code StaleRoute.
 	Reroutes bool `json:"reroutes,omitempty"`
+	// mustReachOwner is set by the sender if the answer of an owner that can't be reached must not be
+	// taken from the log.
+	mustReachOwner bool
 }
 
 // newRequest returns a request about the queue to the pool, which may be a former one of
@@ -231,18 +264,27 @@
 }
 
 // isAcceptedBefore reports whether a former pool of the queue has the job, whose submission
-// is then a repetition.
+// is then a repetition. It also makes sure that no former pool accepts the job later: each owner that it asks
+// reads the configuration that took the queue away, and refuses new jobs that were routed by earlier ones. So
+// it asks the pools that lately had the queue too, even if they are not known to have accepted any job.
 func (gtw *Gateway) isAcceptedBefore(ctx context.Context, now time.Time, que queue.Queue, id string) (bool, error) {
 	gtw.mu.Lock()
 	asg := gtw.assignments[que.Address()]
+	left := maps.Clone(gtw.leftAt[que.Address()])
 	gtw.mu.Unlock()
 	if now.Sub(asg.since) > repeatTime {
 		return false, nil
 	}
 	pools, unread := gtw.formerPools(ctx, now, que)
+	for pool := range left {
+		if pool != que.Pool && !slices.Contains(pools, pool) {
+			pools = append(pools, pool)
+		}
+	}
+	slices.Sort(pools)
 	for _, pool := range pools {
 		req := newRequest(pool, que, id)
-		req.MinVersion = que.Version
+		req.MinVersion, req.mustReachOwner = que.Since, now.Sub(left[pool]) < lagLimit
 		_, found, err := gtw.stateIn(ctx, req)
 		if err != nil {
 			return false, fault.Wrap(err, code.NotReady, "whether the pool %s has job %s", pool, id)
@@ -372,7 +414,7 @@
 
 // stateIn returns the state of a job in one pool.
 func (gtw *Gateway) stateIn(ctx context.Context, req request) (ste jobrecord.State, found bool, err error) {
-	rep, err := gtw.call(ctx, methodState, req, func(own *owner.Owner) (reply, error) { return stateOf(own, req) })
+	rep, err := gtw.call(ctx, methodState, req, func(own *owner.Owner) (reply, error) { return gtw.stateOf(ctx, own, req) })
 	if err == nil && rep.IsFound {
 		return rep.State, true, nil
 	}
@@ -382,6 +424,9 @@
 	case code.StaleRoute:
 		return 0, false, err
 	}
+	if req.mustReachOwner && (errors.Is(err, errUnreachable) || fault.CodeOf(err) == code.OutcomeUnknown) {
+		return 0, false, err
+	}
 	part := group.PartitionOf(req.Pool, gtw.cfg.Partitions)
 	ctx, cancel := gtw.limitIfCutOff(ctx)
 	defer cancel()
@@ -521,6 +566,10 @@
 	}
 }
 
+// errUnreachable marks the error of a request whose owner is known but can't be connected to, and so may
+// still be the owner.
+var errUnreachable = errors.New("the owner can't be reached")
+
 // isNotOwner reports whether the called entry is certainly not the owner.
 func isNotOwner(err error) bool { return fault.CodeOf(err) == code.NotReady }
 
@@ -538,7 +587,7 @@
 	err := gtw.cfg.PeerEndpoint.Connect(connectCtx, address)
 	stop()
 	if err != nil {
-		return reply{}, fault.Wrap(err, code.NotReady, "owner of the pool %s", req.Pool)
+		return reply{}, errors.Mark(fault.Wrap(err, code.NotReady, "owner of the pool %s", req.Pool), errUnreachable)
 	}
 	var rep reply
 	err = gtw.cfg.PeerEndpoint.Call(callCtx, address, method, req, &rep)
@@ -651,18 +700,58 @@
 	return err
 }
 
-func (gtw *Gateway) serveState(_ context.Context, params json.RawMessage) (any, error) {
-	req, own, err := gtw.decodeAndFindOwner(params)
+func (gtw *Gateway) serveState(ctx context.Context, params json.RawMessage) (any, error) {
+	var req request
+	if err := json.Unmarshal(params, &req); err != nil {
+		return nil, fault.Wrap(err, code.BadShape, "peer's question")
+	}
+	// Also an entry that does not own the pool may be about to.
+	if err := gtw.readVersion(ctx, req.MinVersion); err != nil {
+		return nil, req.refusal(err)
+	}
+	_, own, err := gtw.decodeAndFindOwner(params)
 	if err != nil {
 		return nil, err
 	}
-	rep, err := stateOf(own, req)
+	rep, err := gtw.stateOf(ctx, own, req)
 	return rep, req.refusal(err)
 }
 
-func stateOf(own *owner.Owner, req request) (reply, error) {
-	if version := own.ConfigVersion(); version < req.MinVersion {
-		return reply{}, fault.New(code.NotReady, "the owner has read version %d of the configuration, not yet %d", version, req.MinVersion)
+// readVersion returns once this entry has applied the version of the configuration, or a later one. It fails
+// with code StaleRoute if that can't be read.
+func (gtw *Gateway) readVersion(ctx context.Context, version int64) error {
+	if gtw.version() >= version {
+		return nil
+	}
+	now := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout/2)
+	defer cancel()
+	err := gtw.catchUp(ctx, now)
+	present := gtw.version()
+	gtw.cfg.Journal.Event(time.Now(), "configAskedFor", slog.Int64("version", version), slog.Int64("present", present), slog.Duration("after", time.Since(now)))
+	if present >= version {
+		return nil
+	}
+	return fault.New(code.StaleRoute, "this entry has read version %d of the configuration, not yet %d (%v)", present, version, err)
+}
+
+// version returns the version of the configuration in force, 0 before the first.
+func (gtw *Gateway) version() int64 {
+	gtw.mu.Lock()
+	defer gtw.mu.Unlock()
+	if gtw.table == nil {
+		return 0
+	}
+	return gtw.table.Version()
+}
+
+// stateOf returns the state of a job in the owner's pool. The owner answers by the version of the
+// configuration that the request asks for, or a later one.
+func (gtw *Gateway) stateOf(ctx context.Context, own *owner.Owner, req request) (reply, error) {
+	if own.ConfigVersion() < req.MinVersion {
+		if err := gtw.catchUp(ctx, time.Now()); err != nil || own.ConfigVersion() < req.MinVersion {
+			return reply{}, fault.New(code.StaleRoute, "the owner has read version %d of the configuration, not yet %d (%v)", own.ConfigVersion(), req.MinVersion, err)
+		}
 	}
 	ste, ok, err := own.State(req.queue(), req.ID)
 	return reply{IsFound: ok, State: ste}, err
--- a/internal/schedule/gateway/gateway_test.go
+++ b/internal/schedule/gateway/gateway_test.go
@@ -237,8 +237,9 @@
 	ept.Handle("job.cancel", func(context.Context, json.RawMessage) (any, error) { return map[string]any{}, nil })
 	ept.Handle("queue.waiting", func(context.Context, json.RawMessage) (any, error) { return map[string]any{}, nil })
 	gtw := newGateway(t, reader, func() bool { return true })
-	before := queue.Queue{Name: "q", Host: "h", Prefix: "/q/", Pool: stored, Version: 1}
-	pools := []queue.Pool{{Name: stored}, {Name: "gate"}}
+	// The pool that has the job had the queue before the first configuration that the entry has read.
+	before := queue.Queue{Name: "q", Host: "h", Prefix: "/q/", Pool: "between", Version: 1}
+	pools := []queue.Pool{{Name: stored}, {Name: "between"}, {Name: "gate"}}
 	gtw.SetTable(time.Now().Add(-time.Hour), queue.NewTable(1, []queue.Queue{before}, pools))
 	if _, found, err := gtw.State(t.Context(), before, id); found || err != nil {
 		t.Fatalf("found %v (%v) before the job is submitted", found, err)
--- a/internal/schedule/service/reroute_test.go
+++ b/internal/schedule/service/reroute_test.go
@@ -196,3 +196,27 @@
 	ste.stop()
 	ste.checkInvariants()
 }
+
+// Guards against a job that runs twice: its queue, which had had no job before, went to another pool, and the
+// owner of the former one, which had not read of it, accepted the job too.
+func TestFormerOwnerWithAnOldConfigurationAcceptsNoJob(t *testing.T) {
+	ste, gate, mill, other := startRerouting(t)
+	ste.settle()
+	ste.setLate(gate)
+	first := ste.queueAt(passes)
+	ste.putTable(2, rerouted(passes))
+	ste.awaitTableAt(mill)
+	ste.awaitTableAt(other)
+	ste.submit(other, oneTask())
+	if err := gate.Gateway().Submit(t.Context(), time.Now(), first, oneTask()); err != nil {
+		t.Errorf("repeated submission: %v", err)
+	}
+	ste.await(mill, oneTask().ID)
+	time.Sleep(500 * time.Millisecond)
+	if got := ste.fleet.Starts(); got != 1 {
+		t.Errorf("%d starts, want 1", got)
+	}
+	ste.late.Store(noEntry)
+	ste.stop()
+	ste.checkInvariants()
+}
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -432,6 +432,11 @@
 		StatusRetention: svc.cfg.StatusRetention, MaxRecord: svc.cfg.MaxRecord, StateLog: svc.cfg.StateLog, PoolIndex: svc.poolIndex, Agent: svc.cfg.Agent, Journal: svc.cfg.Journal,
 		Metrics: svc.cfg.Metrics, Table: tab, RequestReport: svc.requestReport, HandOver: svc.gateway.HandOver,
 	})
+	if err == nil {
+		// From here on another pool may have taken over queues by a configuration that is stored but not
+		// read here, as its owner could not ask this one before. What fails is logged.
+		_ = svc.feed.CatchUp(ctx, time.Now())
+	}
 	now := time.Now()
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
