Let only the present owner answer for a version

The former pool of a queue that has moved is asked whether it has read of that. The entry that asks may know a former owner, and the present one may lag: found by reading, not shown by a run. An owner now answers once a read of the claims that was sent after it had applied the version has shown that it owns the pool; later owners read the newest configuration after their claim. That costs one read of the claims for each pool and version that is asked for.

--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -735,6 +735,20 @@
 	return fault.New(code.StaleRoute, "this entry has read version %d of the configuration, not yet %d (%v)", present, version, err)
 }
 
+// awaitVersion returns once the owner in this process has applied the version of the configuration and is
+// known to be the owner still.
+func (gtw *Gateway) awaitVersion(ctx context.Context, own *owner.Owner, version int64) error {
+	if err := gtw.readVersion(ctx, version); err != nil {
+		return err
+	}
+	if own.ConfigVersion() < version { // the configuration is being passed to the owners
+		if err := gtw.catchUp(ctx, time.Now()); err != nil {
+			return fault.Wrap(err, code.StaleRoute, "version %d of the configuration", version)
+		}
+	}
+	return own.AwaitVersion(ctx, version)
+}
+
 // version returns the version of the configuration in force, 0 before the first.
 func (gtw *Gateway) version() int64 {
 	gtw.mu.Lock()
@@ -748,9 +762,9 @@
 // stateOf returns the state of a job in the owner's pool. The owner answers by the version of the
 // configuration that the request asks for, or a later one.
 func (gtw *Gateway) stateOf(ctx context.Context, own *owner.Owner, req request) (reply, error) {
-	if own.ConfigVersion() < req.MinVersion {
-		if err := gtw.catchUp(ctx, time.Now()); err != nil || own.ConfigVersion() < req.MinVersion {
-			return reply{}, fault.New(code.StaleRoute, "the owner has read version %d of the configuration, not yet %d (%v)", own.ConfigVersion(), req.MinVersion, err)
+	if req.MinVersion > 0 {
+		if err := gtw.awaitVersion(ctx, own, req.MinVersion); err != nil {
+			return reply{}, err
 		}
 	}
 	ste, ok, err := own.State(req.queue(), req.ID)
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -99,12 +99,15 @@
 	flushRequested      chan struct{}
 	claimCheckRequested chan struct{}
 	confirmed           confirmation
-	quit                chan struct{}
-	lost                chan struct{}
-	closeOnce           sync.Once
-	lostOnce            sync.Once
-	loops               sync.WaitGroup
-	done                chan struct{}
+	// confirmedVersion is the version of the configuration that was in force here at a time when
+	// this owner is known to have owned the pool.
+	confirmedVersion int64
+	quit             chan struct{}
+	lost             chan struct{}
+	closeOnce        sync.Once
+	lostOnce         sync.Once
+	loops            sync.WaitGroup
+	done             chan struct{}
 }
 
 // submission is a job waiting to be stored.
@@ -141,6 +144,7 @@
 		IsFirstTerm: clm.Term() == 1, Event: own.event,
 	})
 	own.sch.SetTable(cfg.Table)
+	own.confirmedVersion = own.configVersion()
 	if err := own.restore(ctx, now); err != nil {
 		return nil, err
 	}
@@ -373,6 +377,11 @@
 func (own *Owner) ConfigVersion() int64 {
 	own.mu.Lock()
 	defer own.mu.Unlock()
+	return own.configVersion()
+}
+
+// configVersion is ConfigVersion for callers with the lock.
+func (own *Owner) configVersion() int64 {
 	if own.table == nil {
 		return 0
 	}
