Count the age of a report from the answer that it acknowledges

The fleet controller took the age of a report on a pool from its arrival.

An answer to a report now carries the controller's term and the time on its clock, the next report acknowledges the last answer that its owner has applied, and evacuations count from that. Owners of earlier versions acknowledge nothing and are taken as before.

TestOrderIsNotSentByAReportThatArrivesLate fails before, with its acknowledgements left out: "1 machines ordered by a report of 5 s before".

--- a/internal/fleet/balance/balance.go
+++ b/internal/fleet/balance/balance.go
@@ -52,6 +52,12 @@
 	LongRunningDeficit int64        // thousandths of a core of the VMs that long-running tasks lack, one VM per task
 	Arrived            arrivals.Sum // since the owner's term began
 	VMs                []VM
+	// HasAcks is set if the owner names the last answer of the fleet controller that it has applied:
+	// AckedTerm is the term of that, AckedAt the time of the answer on its clock; both 0 for none. An
+	// owner of an earlier version of the program does not.
+	HasAcks   bool
+	AckedTerm int64
+	AckedAt   time.Duration
 }
 
 // Transfer gives a VM to another pool.
--- a/internal/schedule/fleetcontroller/fleetcontroller.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller.go
@@ -35,8 +35,8 @@
 	// minRoundPause is the shortest pause between rounds that a report makes due early.
 	minRoundPause = 20 * time.Millisecond
 	// maxReportAge is the age above which a pool's report is not used to plan moves or to
-	// decide that a VM is evacuated. An owner keeps a VM closed for 4 s after the report, and the order
-	// may take callTimeout.
+	// decide that a VM is evacuated. An owner keeps a VM closed for 4 s after it has sent a report
+	// that is answered, and the order may take callTimeout.
 	maxReportAge = 1500 * time.Millisecond
 	// maxOrderListAge is the age above which a machine list does not show that nothing runs on a
 	// machine. A new VM gets its first task some 0.3 s after its machine is up.
@@ -236,7 +236,7 @@
 		if opr := inOperation[vm.ID]; opr != nil {
 			evacuating = append(evacuating, vm.ID)
 			if opr.askedAt.IsZero() {
-				opr.askedAt = now
+				opr.askedAt, opr.askedSinceBoot = now, rpt.sinceBoot
 			}
 		}
 		if mvm := rpt.missing[vm.ID]; mvm.isEnded() {
@@ -248,6 +248,12 @@
 	return evacuating, ended
 }
 
+// Stamp returns the fencing token of the controller's term and the time on its clock. An owner that has
+// applied the answer to a report names the stamp that was taken after it in its next report.
+func (ctl *Controller) Stamp() (term int64, at time.Duration) {
+	return ctl.clm.FencingToken(), ctl.cfg.SinceBoot()
+}
+
 // isUrgent reports whether the report calls for a round at once: the pool needs at least
 // a VM more than in its last report, or a VM that is to be ordered away is evacuated.
 func (ctl *Controller) isUrgent(pol balance.Pool) bool {
--- a/internal/schedule/fleetcontroller/operation.go
+++ b/internal/schedule/fleetcontroller/operation.go
@@ -15,7 +15,9 @@
 	wave      int64  // number of the maintenance wave, 0 for a move
 	startedAt time.Time
 	askedAt   time.Time // when the owner was first told to evacuate vm for this operation
-	outcomeAt time.Time // when the outcome of the last order arrived
+	// askedSinceBoot is the same, since boot.
+	askedSinceBoot time.Duration
+	outcomeAt      time.Time // when the outcome of the last order arrived
 	// knownAt is when what the next order rests on became known: the report that vm is evacuated, or
 	// the list that shows nothing running on the machine.
 	knownAt    time.Duration // since boot
@@ -138,25 +140,36 @@
 // evacuated for this operation. A report from before the owner was told may stem from an
 // earlier operation, for which the VM is not kept closed any more.
 func (opr *operation) isEvacuated(evc evacuation) bool {
+	if evc.isAcked {
+		return !opr.askedAt.IsZero() && evc.sinceBoot >= opr.askedSinceBoot
+	}
 	return !opr.askedAt.IsZero() && evc.at.After(opr.askedAt)
 }
 
-// evacuation is when a report arrived that shows a VM as evacuated.
+// evacuation says since when a VM is known to be evacuated.
 type evacuation struct {
-	at        time.Time
-	sinceBoot time.Duration
+	at        time.Time     // when the report arrived
+	sinceBoot time.Duration // the same, or when the answer was given that the report acknowledges
+	isAcked   bool
 }
 
-// evacuatedVMs returns the VMs that are evacuated according to recent reports of the pools' owners.
+// evacuatedVMs returns the VMs that are evacuated according to recent reports of the pools' owners. The age
+// of a report counts from the answer that it acknowledges: the report itself may have been on its way
+// for longer than the owner keeps a VM closed.
 func (ctl *Controller) evacuatedVMs() map[string]evacuation {
 	evacuated := map[string]evacuation{}
 	for _, rpt := range ctl.reports {
-		if ctl.cfg.SinceBoot()-rpt.sinceBoot > maxReportAge {
+		evc := evacuation{at: rpt.at, sinceBoot: rpt.sinceBoot, isAcked: rpt.pool.HasAcks}
+		if evc.isAcked {
+			evc.sinceBoot = rpt.pool.AckedAt
+		}
+		isOfOtherTerm := evc.isAcked && rpt.pool.AckedTerm != ctl.clm.FencingToken()
+		if isOfOtherTerm || ctl.cfg.SinceBoot()-evc.sinceBoot > maxReportAge {
 			continue
 		}
 		for _, vm := range rpt.pool.VMs {
 			if vm.IsEvacuating && vm.Tasks == 0 {
-				evacuated[vm.ID] = evacuation{at: rpt.at, sinceBoot: rpt.sinceBoot}
+				evacuated[vm.ID] = evc
 			}
 		}
 	}
--- a/internal/schedule/fleetcontroller/repeatedorder_test.go
+++ b/internal/schedule/fleetcontroller/repeatedorder_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"daisywheel/internal/event/journal"
+	"daisywheel/internal/fleet/balance"
 	"daisywheel/internal/fleet/maintenance"
 	"daisywheel/internal/schedule/fleetcontroller"
 	"daisywheel/internal/standin/logstore"
@@ -96,3 +97,52 @@
 		ctl.Close()
 	})
 }
+
+// Guards against upkeep that ends tasks by a report that was on its way for longer than its owner keeps the VM
+// closed, as when a cut between the entries heals.
+func TestOrderIsNotSentByAReportThatArrivesLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
+		ctl := openController(t, log, plt, "first")
+		defer ctl.Close()
+		time.Sleep(time.Second)
+		ctl.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: []string{"gate-0"}, Cap: 1, Within: time.Minute})
+		time.Sleep(300 * time.Millisecond)
+		report := func() balance.Pool {
+			rpt := plt.poolReport("gate", 0)
+			rpt.HasAcks = true
+			return rpt
+		}
+		asked, _ := ctl.HandleReport(time.Now(), report())
+		if len(asked) != 1 {
+			t.Fatalf("asked to evacuate %v, want a VM", asked)
+		}
+		late := report()
+		late.AckedTerm, late.AckedAt = ctl.Stamp()
+		plt.evacuating[asked[0]] = true
+		evacuated := plt.poolReport("gate", 0).VMs
+		late.VMs = evacuated
+		time.Sleep(5 * time.Second) // the owner lifts the evacuation after 4 s
+		ctl.HandleReport(time.Now(), late)
+		time.Sleep(time.Second)
+		if plt.orderCount() > 0 {
+			t.Errorf("%d machines ordered by a report of 5 s before", plt.orderCount())
+		}
+		earlier := report()
+		earlier.VMs, earlier.AckedTerm = evacuated, late.AckedTerm-1
+		_, earlier.AckedAt = ctl.Stamp()
+		ctl.HandleReport(time.Now(), earlier)
+		time.Sleep(time.Second)
+		if plt.orderCount() > 0 {
+			t.Errorf("%d machines ordered by a report that acknowledges another controller", plt.orderCount())
+		}
+		present := report()
+		present.VMs = evacuated
+		present.AckedTerm, present.AckedAt = ctl.Stamp()
+		ctl.HandleReport(time.Now(), present)
+		time.Sleep(time.Second)
+		if plt.orderCount() != 1 {
+			t.Errorf("%d machines ordered by a present report, want 1", plt.orderCount())
+		}
+	})
+}
--- a/internal/schedule/service/fleet.go
+++ b/internal/schedule/service/fleet.go
@@ -36,6 +36,10 @@
 type evacuation struct {
 	vms map[string]bool
 	at  time.Time // when the report was sent
+	// own is the owner that reported, term and stamp are those of the answer; zero without one.
+	own   *owner.Owner
+	term  int64
+	stamp time.Duration
 }
 
 // reconcileController opens or closes the fleet controller. The caller holds the lock.
@@ -91,7 +95,14 @@
 	svc.mu.Unlock()
 	for pool, own := range owners {
 		now := time.Now()
-		rpl, err := svc.sendReport(now, own.BalanceInput(now))
+		pol := own.BalanceInput(now)
+		pol.HasAcks = true
+		svc.mu.Lock()
+		if last := svc.evacuations[pool]; last.own == own {
+			pol.AckedTerm, pol.AckedAt = last.term, last.stamp
+		}
+		svc.mu.Unlock()
+		rpl, err := svc.sendReport(now, pol)
 		svc.applyReportReply(now, own, pool, rpl, err)
 	}
 }
@@ -114,7 +125,7 @@
 		}
 		svc.controllerAddress = ""
 	}
-	evc := evacuation{vms: setOf(rpl.Evacuating), at: now}
+	evc := evacuation{vms: setOf(rpl.Evacuating), at: now, own: own, term: rpl.Term, stamp: time.Duration(rpl.Stamp)}
 	svc.evacuations[pool] = evc
 	if svc.owners[pool] != own {
 		return // another term has begun, whose owner numbers revisions anew
@@ -137,8 +148,7 @@
 	ctl, address := svc.activeController(now), svc.controllerAddress
 	svc.mu.Unlock()
 	if ctl != nil {
-		evacuating, ended := ctl.HandleReport(now, pol)
-		return newReportReply(evacuating, ended, ctl.DueVMs(pol)), nil
+		return handleReport(now, ctl, pol), nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
@@ -185,8 +195,16 @@
 		return nil, fault.New(code.NotReady, "this entry does not run the fleet controller")
 	}
 	pol := decodePool(now, msg)
+	return handleReport(now, ctl, pol), nil
+}
+
+// handleReport passes a report to the fleet controller and returns its reply.
+func handleReport(now time.Time, ctl *fleetcontroller.Controller, pol balance.Pool) reportReplyJSON {
 	evacuating, ended := ctl.HandleReport(now, pol)
-	return newReportReply(evacuating, ended, ctl.DueVMs(pol)), nil
+	rpl := newReportReply(evacuating, ended, ctl.DueVMs(pol))
+	term, at := ctl.Stamp()
+	rpl.Term, rpl.Stamp = term, int64(at)
+	return rpl
 }
 
 // poolJSON is the report of a pool, sent between entries. Times are sent as ages, as
@@ -200,6 +218,9 @@
 	Work               int64    `json:"arrivedMilliCoreSeconds"`
 	Jobs               int64    `json:"arrivedJobs"`
 	VMs                []vmJSON `json:"vms"`
+	HasAcks            bool     `json:"hasAcks,omitempty"`
+	AckedTerm          int64    `json:"ackedTerm,omitempty"`
+	AckedStamp         int64    `json:"ackedStamp,omitempty"` // in nanoseconds on the controller's clock
 }
 
 type vmJSON struct {
@@ -224,6 +245,9 @@
 	// has ended, so leases have to expire.
 	Terminated     []string `json:"ended"`
 	MaintenanceDue []string `json:"due,omitempty"`
+	// Term and Stamp are acknowledged by the next report; 0 from a controller of an earlier version.
+	Term  int64 `json:"term,omitempty"`
+	Stamp int64 `json:"stamp,omitempty"` // in nanoseconds on the controller's clock
 }
 
 // revisionJSON is a VM as its owner knew it when it sent the report.
@@ -259,7 +283,8 @@
 const maxAge = time.Hour
 
 func encodePool(now time.Time, pol balance.Pool) poolJSON {
-	msg := poolJSON{Name: pol.Name, FencingToken: pol.FencingToken, Demand: pol.Demand, LateDemand: pol.LateDemand, LongRunningDeficit: pol.LongRunningDeficit, Work: pol.Arrived.Work, Jobs: pol.Arrived.Jobs, VMs: make([]vmJSON, 0, len(pol.VMs))}
+	msg := poolJSON{Name: pol.Name, FencingToken: pol.FencingToken, Demand: pol.Demand, LateDemand: pol.LateDemand, LongRunningDeficit: pol.LongRunningDeficit, Work: pol.Arrived.Work, Jobs: pol.Arrived.Jobs, VMs: make([]vmJSON, 0, len(pol.VMs)),
+		HasAcks: pol.HasAcks, AckedTerm: pol.AckedTerm, AckedStamp: int64(pol.AckedAt)}
 	for _, vm := range pol.VMs {
 		msg.VMs = append(msg.VMs, vmJSON{
 			ID: vm.ID, MilliCores: vm.MilliCores, Tasks: vm.Tasks, LongRunning: vm.LongRunning,
@@ -271,7 +296,8 @@
 }
 
 func decodePool(now time.Time, msg poolJSON) balance.Pool {
-	pol := balance.Pool{Name: msg.Name, FencingToken: msg.FencingToken, Demand: msg.Demand, LateDemand: msg.LateDemand, LongRunningDeficit: msg.LongRunningDeficit, Arrived: arrivals.Sum{Work: msg.Work, Jobs: msg.Jobs}}
+	pol := balance.Pool{Name: msg.Name, FencingToken: msg.FencingToken, Demand: msg.Demand, LateDemand: msg.LateDemand, LongRunningDeficit: msg.LongRunningDeficit, Arrived: arrivals.Sum{Work: msg.Work, Jobs: msg.Jobs},
+		HasAcks: msg.HasAcks, AckedTerm: msg.AckedTerm, AckedAt: time.Duration(msg.AckedStamp)}
 	for _, vm := range msg.VMs {
 		pol.VMs = append(pol.VMs, balance.VM{
 			ID: vm.ID, MilliCores: vm.MilliCores, Tasks: vm.Tasks, LongRunning: vm.LongRunning,
--- a/internal/schedule/service/fleet_test.go
+++ b/internal/schedule/service/fleet_test.go
@@ -34,6 +34,13 @@
 	if ended := rpl.endedVMs(); len(ended) != 0 || !slices.Equal(rpl.Evacuating, []string{"b"}) {
 		t.Errorf("of an earlier controller's answer %+v, VMs %v end", rpl, ended)
 	}
+	if pol := decodePool(now, msg); pol.HasAcks {
+		t.Error("an owner of an earlier version acknowledges answers")
+	}
+	pol := decodePool(now, encodePool(now, balance.Pool{HasAcks: true, AckedTerm: 3, AckedAt: time.Minute}))
+	if !pol.HasAcks || pol.AckedTerm != 3 || pol.AckedAt != time.Minute {
+		t.Errorf("acknowledgement %v of term %d at %s, want term 3 at 1m", pol.HasAcks, pol.AckedTerm, pol.AckedAt)
+	}
 	reported := encodePool(now, balance.Pool{VMs: []balance.VM{{ID: "a", IsUnresponsive: true, Revision: 7}}})
 	rpl = newReportReply(nil, decodePool(now, reported).VMs, nil)
 	if ended := rpl.endedVMs(); len(ended) != 1 || ended[0].ID != "a" || ended[0].Revision != 7 || len(rpl.Terminated) != 0 {
