Order a machine only while a recent list shows the evacuated VM

An order ends whatever runs on a machine, but rests on the evacuation of a VM.

TestOrderNeedsAListThatShowsTheVM fails before: "1 machines ordered by a list of over 1.5 s before", "1 machines ordered that have another VM".

--- a/internal/schedule/fleetcontroller/fleetcontroller.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller.go
@@ -38,9 +38,12 @@
 	// decide that a VM is evacuated. An owner keeps a VM closed for 4 s after it has sent a report
 	// that is answered, and the order may take callTimeout.
 	maxReportAge = 1500 * time.Millisecond
-	// maxOrderListAge is the age above which a machine list does not show that nothing runs on a
-	// machine. A new VM gets its first task some 0.3 s after its machine is up.
-	maxOrderListAge = 2 * listInterval
+	// maxVMListAge is the age above which a machine list does not show which VM a machine has: a list may
+	// take callTimeout, and the next one follows listInterval later.
+	maxVMListAge = callTimeout + listInterval
+	// maxDownListAge is the age above which a machine list does not show that a machine is down. A VM
+	// gets its first task some 0.3 s after its machine is up.
+	maxDownListAge = 2 * listInterval
 	// listInterval is the time between machine lists while operations are in progress,
 	// VMs are missing or a wave waits for machines that are not listed. The platform accepts
 	// only few list calls a second from all entries together.
--- a/internal/schedule/fleetcontroller/fleetcontroller_test.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller_test.go
@@ -60,8 +60,10 @@
 	isHidden func(machine string) bool
 	// isUnreadable, if set, tells which entries of a list can't be read, not even their names.
 	isUnreadable func(machine string) bool
-	lists        int // number of lists read
-	reports      []waveReport
+	// isUnlisted is set while lists can't be read.
+	isUnlisted bool
+	lists      int // number of lists read
+	reports    []waveReport
 	// lastReport is the newest one; the platform refuses those of earlier terms and takes each once.
 	lastReport directory.WaveReport
 }
@@ -93,6 +95,9 @@
 	defer time.Sleep(plt.listDelay)
 	plt.mu.Lock()
 	defer plt.mu.Unlock()
+	if plt.isUnlisted {
+		return nil, errors.New("stand-in: no list")
+	}
 	plt.lists++
 	var all []directory.Machine
 	for name, pool := range plt.pools {
@@ -244,7 +249,10 @@
 	if cfg.SinceBoot == nil {
 		cfg.SinceBoot = func() time.Duration { return time.Since(began) }
 	}
-	cfg.Address, cfg.OrderLease, cfg.StateLog, cfg.Table = cfg.Holder, orderLease, log.Client(), func() *queue.Table { return tab }
+	if cfg.Table == nil {
+		cfg.Table = func() *queue.Table { return tab }
+	}
+	cfg.Address, cfg.OrderLease, cfg.StateLog = cfg.Holder, orderLease, log.Client()
 	ctl, err := fleetcontroller.Open(t.Context(), time.Now(), cfg)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/schedule/fleetcontroller/operation.go
+++ b/internal/schedule/fleetcontroller/operation.go
@@ -118,22 +118,23 @@
 }
 
 // isFreeOfTasks reports whether the machine is known to be free of tasks, and when that became known,
-// since boot. The VM must be evacuated, also for an order that is repeated: the owner lifts an
-// evacuation when it gets no answers. A machine that is not up after an earlier order, or whose pool
-// is on standby, has no VM.
+// since boot. A recent list must show which VM it has. That must be evacuated, also for an order that is
+// repeated: the owner lifts an evacuation when it gets no answers. A machine that is not up after an earlier
+// order, or whose pool is on standby, has no VM.
 func (ctl *Controller) isFreeOfTasks(opr *operation, evacuated map[string]evacuation) (knownAt time.Duration, isFree bool) {
 	mac, ok := ctl.machines[opr.machine]
 	if !ok {
 		return 0, false
 	}
-	if evc := evacuated[opr.vm]; opr.isEvacuated(evc) {
-		return evc.sinceBoot, true
-	}
 	if ctl.isStandby(mac.Pool) {
 		return ctl.cfg.SinceBoot(), true
 	}
+	listAge := ctl.cfg.SinceBoot() - ctl.listedSinceBoot
+	if evc := evacuated[opr.vm]; opr.isEvacuated(evc) && mac.VM == opr.vm && listAge <= maxVMListAge {
+		return evc.sinceBoot, true
+	}
 	isDown := (opr.isOrdered || opr.isRestored) && !mac.IsUp && ctl.listedAt.After(opr.outcomeAt)
-	return ctl.listedSinceBoot, isDown && ctl.cfg.SinceBoot()-ctl.listedSinceBoot <= maxOrderListAge
+	return ctl.listedSinceBoot, isDown && listAge <= maxDownListAge
 }
 
 // isEvacuated reports whether a recent report of the pool's owner shows that the VM was
--- a/internal/schedule/fleetcontroller/repeatedorder_test.go
+++ b/internal/schedule/fleetcontroller/repeatedorder_test.go
@@ -146,3 +146,46 @@
 		}
 	})
 }
+
+// Guards against an order for a VM that ends the tasks of another one: the machine has restarted under a new id
+// since the last list, and its owner still reports the former VM as evacuated.
+func TestOrderNeedsAListThatShowsTheVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
+		ctl := openController(t, log, plt, "first")
+		defer ctl.Close()
+		time.Sleep(time.Second)
+		ctl.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: []string{"gate-0"}, Cap: 1, Within: time.Minute})
+		time.Sleep(300 * time.Millisecond)
+		asked, _ := ctl.HandleReport(time.Now(), plt.poolReport("gate", 0))
+		if len(asked) != 1 {
+			t.Fatalf("asked to evacuate %v, want a VM", asked)
+		}
+		plt.mu.Lock()
+		plt.isUnlisted = true
+		plt.mu.Unlock()
+		time.Sleep(1500 * time.Millisecond)
+		plt.evacuating[asked[0]] = true
+		former := plt.poolReport("gate", 0)
+		plt.mu.Lock()
+		plt.incarnations["gate-0"]++
+		plt.mu.Unlock()
+		ctl.HandleReport(time.Now(), former)
+		time.Sleep(time.Second)
+		if plt.orderCount() > 0 {
+			t.Errorf("%d machines ordered by a list of over 1.5 s before", plt.orderCount())
+		}
+		plt.mu.Lock()
+		plt.isUnlisted = false
+		plt.mu.Unlock()
+		ctl.HandleReport(time.Now(), former)
+		time.Sleep(time.Second)
+		if plt.orderCount() > 0 {
+			t.Errorf("%d machines ordered that have another VM", plt.orderCount())
+		}
+		plt.runFor(ctl, 0, 2*time.Second)
+		if plt.orderCount() != 1 {
+			t.Errorf("%d machines ordered, want 1 once its present VM is evacuated", plt.orderCount())
+		}
+	})
+}
