Evacuate VMs of a pool on standby that an owner reports

A machine whose pool is on standby by the fleet controller's configuration was ordered at once, as nothing runs on machines that are off. The configuration may be old, and the pool's owner may have given the VM tasks: found by reading. A VM that a pool's owner has reported within 12 s, after which an owner that is cut off stops, is evacuated first now.

TestVMOfAStandbyPoolThatIsReportedIsEvacuatedFirst fails before: "8 machines ordered, reported by an owner: true".

--- a/internal/schedule/fleetcontroller/fleetcontroller.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller.go
@@ -21,6 +21,7 @@
 	"daisywheel/internal/kernel/boottime"
 	"daisywheel/internal/kernel/loop"
 	"daisywheel/internal/schedule/claim"
+	"daisywheel/internal/schedule/poolscheduler"
 	"daisywheel/internal/schedule/statelog"
 )
 
@@ -38,6 +39,9 @@
 	// decide that a VM is evacuated. An owner keeps a VM closed for 4 s after it has sent a report
 	// that is answered, and the order may take callTimeout.
 	maxReportAge = 1500 * time.Millisecond
+	// maxUnreportedTime is how long an owner may use VMs without a report: an owner that is cut off from the
+	// log stops after 12 s.
+	maxUnreportedTime = poolscheduler.OwnerGracePeriod
 	// maxVMListAge is the age above which a machine list does not show which VM a machine has: a list may
 	// take callTimeout, and the next one follows listInterval later.
 	maxVMListAge = callTimeout + listInterval
--- a/internal/schedule/fleetcontroller/operation.go
+++ b/internal/schedule/fleetcontroller/operation.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"slices"
 	"time"
+
+	"daisywheel/internal/fleet/balance"
 )
 
 // operation is a move or the maintenance of one machine.
@@ -126,7 +128,7 @@
 	if !ok {
 		return 0, false
 	}
-	if ctl.isStandby(mac.Pool) {
+	if ctl.isStandby(mac.Pool) && !ctl.isReported(mac.VM) {
 		return ctl.cfg.SinceBoot(), true
 	}
 	listAge := ctl.cfg.SinceBoot() - ctl.listedSinceBoot
@@ -137,6 +139,23 @@
 	return ctl.listedSinceBoot, isDown && listAge <= maxDownListAge
 }
 
+// isReported reports whether an owner has the VM in its last report. The configuration that has its pool on
+// standby may be old, and tasks run there. An owner that can't report for maxUnreportedTime has ended.
+func (ctl *Controller) isReported(vm string) bool {
+	if vm == "" {
+		return false
+	}
+	for _, rpt := range ctl.reports {
+		if ctl.cfg.SinceBoot()-rpt.sinceBoot > maxUnreportedTime {
+			continue
+		}
+		if slices.ContainsFunc(rpt.pool.VMs, func(rvm balance.VM) bool { return rvm.ID == vm }) {
+			return true
+		}
+	}
+	return false
+}
+
 // isEvacuated reports whether a recent report of the pool's owner shows that the VM was
 // evacuated for this operation. A report from before the owner was told may stem from an
 // earlier operation, for which the VM is not kept closed any more.
--- a/internal/schedule/fleetcontroller/repeatedorder_test.go
+++ b/internal/schedule/fleetcontroller/repeatedorder_test.go
@@ -9,6 +9,7 @@
 	"daisywheel/internal/event/journal"
 	"daisywheel/internal/fleet/balance"
 	"daisywheel/internal/fleet/maintenance"
+	"daisywheel/internal/fleet/queue"
 	"daisywheel/internal/schedule/fleetcontroller"
 	"daisywheel/internal/standin/logstore"
 )
@@ -189,3 +190,28 @@
 		}
 	})
 }
+
+// Guards against a move that ends tasks: by the controller's configuration, which is old, the VM's pool is on
+// standby, but its owner reports tasks there.
+func TestVMOfAStandbyPoolThatIsReportedIsEvacuatedFirst(t *testing.T) {
+	for _, isReported := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
+			tab := queue.NewTable(1, nil, []queue.Pool{{Name: "gate"}, {Name: "haul", IsStandby: true}})
+			ctl := openControllerWithConfig(t, log, fleetcontroller.Config{
+				Holder: "first", OrderRate: orderRate, Directory: plt.directory(), Journal: journal.New(journal.Config{}), Table: func() *queue.Table { return tab },
+			})
+			defer ctl.Close()
+			for range 10 {
+				if isReported {
+					ctl.HandleReport(time.Now(), plt.poolReport("haul", 0))
+				}
+				ctl.HandleReport(time.Now(), plt.poolReport("gate", 20*16000))
+				time.Sleep(200 * time.Millisecond)
+			}
+			if count := plt.orderCount(); (count > 0) == isReported {
+				t.Errorf("%d machines ordered, reported by an owner: %v", count, isReported)
+			}
+		})
+	}
+}
