Keep a VM that has come back under its id closed while it is to be evacuated

An owner that learned of the end of a VM dropped its state, and with it that the VM is to be evacuated. New VMs are now under the last answer too.

TestVMThatHasComeBackIsStillToBeEvacuated fails before: "1 tasks start on a VM that is to be evacuated".

--- a/internal/schedule/poolscheduler/evacuating_test.go
+++ b/internal/schedule/poolscheduler/evacuating_test.go
@@ -202,3 +202,21 @@
 		t.Errorf("orders %+v once both tasks are known to go on, want one stop", orders)
 	}
 }
+
+// Guards against tasks on a VM that is about to be ordered away: it was evacuated, ended and came back under its
+// id, and got tasks until the next answer of the fleet controller, which rests its order on the report before.
+func TestVMThatHasComeBackIsStillToBeEvacuated(t *testing.T) {
+	sch, _ := newScheduler(true)
+	addVMs(start, sch, vm("a", 1))
+	sch.SetEvacuating(start, map[string]bool{"a": true})
+	sch.EndIncarnation(start, "a", sch.Revision("a"))
+	addVMs(start, sch, vm("a", 2))
+	accept(start, sch, step(1, 1000))
+	if orders := starts(sch.Plan(start)); len(orders) > 0 {
+		t.Errorf("%d tasks start on a VM that is to be evacuated", len(orders))
+	}
+	sch.SetEvacuating(start, nil)
+	if orders := starts(sch.Plan(start)); len(orders) != 1 {
+		t.Errorf("%d tasks start once the evacuation is lifted, want 1", len(orders))
+	}
+}
--- a/internal/schedule/poolscheduler/pool.go
+++ b/internal/schedule/poolscheduler/pool.go
@@ -91,6 +91,7 @@
 // SetEvacuating sets the VMs that are to be evacuated. They get no new tasks, and their
 // long-running tasks are stopped as far as the limits of their steps allow.
 func (sch *Scheduler) SetEvacuating(now time.Time, evacuating map[string]bool) {
+	sch.evacuating = evacuating
 	for id, vst := range sch.vms {
 		if vst.isEvacuating != evacuating[id] {
 			vst.isEvacuating, vst.evacuatingSince, vst.isDelayLogged = evacuating[id], now, false
--- a/internal/schedule/poolscheduler/poolscheduler.go
+++ b/internal/schedule/poolscheduler/poolscheduler.go
@@ -85,6 +85,7 @@
 	vmRecordsToWrite  map[string]bool            // VMs whose record is to be stored
 	vmRecordsToDelete map[string]bool            // VMs whose record is to be deleted
 	endedIncarnations map[string]int64           // by VM: the ended incarnation that may still be listed
+	evacuating        map[string]bool            // by id: the VMs that are to be evacuated
 	revision          int64                      // the highest one of a VM, see balance.VM
 	// confirmedAt is the latest time at which this owner was known to own the pool.
 	confirmedAt   time.Time
--- a/internal/schedule/poolscheduler/vm.go
+++ b/internal/schedule/poolscheduler/vm.go
@@ -38,7 +38,7 @@
 	vst, ok := sch.vms[hst.ID]
 	if !ok {
 		vst = newVMState(hst)
-		sch.addVM(vst)
+		sch.addVM(now, vst)
 		sch.requestVMRecord(vst)
 		sch.cfg.Event(now, "vmListed", slog.String("vm", hst.ID), slog.String("zone", hst.Zone), slog.Int64("born", hst.Incarnation))
 	}
@@ -63,8 +63,13 @@
 	}
 }
 
-func (sch *Scheduler) addVM(vst *vmState) {
+// addVM adds a VM. One that is to be evacuated may have been dropped meanwhile, as its incarnation
+// had ended; the fleet controller may rest an order on its evacuation all the same.
+func (sch *Scheduler) addVM(now time.Time, vst *vmState) {
 	sch.revise(vst)
+	if sch.evacuating[vst.host.ID] {
+		vst.isEvacuating, vst.evacuatingSince = true, now
+	}
 	sch.vms[vst.host.ID] = vst
 	sch.sorted = nil
 }
@@ -130,7 +135,7 @@
 	vst := newVMState(hst)
 	vst.isUnreconciled, vst.isStored = true, true
 	vst.leaseEnd = now.Add(OwnerGracePeriod + leaseBound(sch.cfg.LongestLease))
-	sch.addVM(vst)
+	sch.addVM(now, vst)
 }
 
 // handleRestart handles a new incarnation of the VM: what ran in the old one has ended.
