Take a VM that answers its owner for the machine's without a recent list

A VM that answers its owner is on its machine; only for one that does not answer a recent list is needed.

TestOrderNeedsAListThatShowsTheVM now has the former VM as unresponsive, as it is once its owner has polled it.

--- a/internal/schedule/fleetcontroller/operation.go
+++ b/internal/schedule/fleetcontroller/operation.go
@@ -120,9 +120,9 @@
 }
 
 // isFreeOfTasks reports whether the machine is known to be free of tasks, and when that became known,
-// since boot. A recent list must show which VM it has. That must be evacuated, also for an order that is
-// repeated: the owner lifts an evacuation when it gets no answers. A machine that is not up after an earlier
-// order, or whose pool is on standby, has no VM.
+// since boot. Its VM must be evacuated, also for an order that is repeated: the owner lifts an evacuation
+// when it gets no answers. That it is the VM's machine still is known while the VM answers its owner, or else
+// from a recent list. A machine that is not up after an earlier order, or whose pool is on standby, has no VM.
 func (ctl *Controller) isFreeOfTasks(opr *operation, evacuated map[string]evacuation) (knownAt time.Duration, isFree bool) {
 	mac, ok := ctl.machines[opr.machine]
 	if !ok {
@@ -132,7 +132,7 @@
 		return ctl.cfg.SinceBoot(), true
 	}
 	listAge := ctl.cfg.SinceBoot() - ctl.listedSinceBoot
-	if evc := evacuated[opr.vm]; opr.isEvacuated(evc) && mac.VM == opr.vm && listAge <= maxVMListAge {
+	if evc := evacuated[opr.vm]; opr.isEvacuated(evc) && mac.VM == opr.vm && (evc.isAnswering || listAge <= maxVMListAge) {
 		return evc.sinceBoot, true
 	}
 	isDown := (opr.isOrdered || opr.isRestored) && !mac.IsUp && ctl.listedAt.After(opr.outcomeAt)
@@ -171,6 +171,8 @@
 	at        time.Time     // when the report arrived
 	sinceBoot time.Duration // the same, or when the answer was given that the report acknowledges
 	isAcked   bool
+	// isAnswering is set if the VM answers its owner.
+	isAnswering bool
 }
 
 // evacuatedVMs returns the VMs that are evacuated according to recent reports of the pools' owners. The age
@@ -189,6 +191,7 @@
 		}
 		for _, vm := range rpt.pool.VMs {
 			if vm.IsEvacuating && vm.Tasks == 0 {
+				evc.isAnswering = !vm.IsUnresponsive
 				evacuated[vm.ID] = evc
 			}
 		}
--- a/internal/schedule/fleetcontroller/repeatedorder_test.go
+++ b/internal/schedule/fleetcontroller/repeatedorder_test.go
@@ -149,7 +149,7 @@
 }
 
 // Guards against an order for a VM that ends the tasks of another one: the machine has restarted under a new id
-// since the last list, and its owner still reports the former VM as evacuated.
+// since the last list, and its owner still reports the former VM, which does not answer, as evacuated.
 func TestOrderNeedsAListThatShowsTheVM(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
@@ -168,6 +168,9 @@
 		time.Sleep(1500 * time.Millisecond)
 		plt.evacuating[asked[0]] = true
 		former := plt.poolReport("gate", 0)
+		for i := range former.VMs {
+			former.VMs[i].IsUnresponsive = former.VMs[i].ID == asked[0]
+		}
 		plt.mu.Lock()
 		plt.incarnations["gate-0"]++
 		plt.mu.Unlock()
