Send a start order only to the incarnation that it rests on

A start named the VM, not its incarnation, and went over any connection. It now names the incarnation that has reported, and goes over connections on which this one has answered a poll; where another answers, nothing is sent. So the lease in a start can't reach another incarnation's clock either.

--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -33,14 +33,17 @@
 	FencingToken int64
 }
 
-// Start is the order to run a task. Until is the end of its lease on the VM's clock.
+// Start is the order to run a task. Until is the end of its lease on the clock of the VM's incarnation.
+// The order must not reach another incarnation, which may have forgotten the fencing token of a later
+// owner.
 type Start struct {
-	Task       task.ID
-	Run        int
-	Spec       string
-	Until      time.Duration
-	Checkpoint string
-	Ticket     string
+	Task        task.ID
+	Run         int
+	Spec        string
+	Incarnation int64 // start time in Unix ms; 0 for any, if the VM tells none
+	Until       time.Duration
+	Checkpoint  string
+	Ticket      string
 }
 
 // Run is one run of a task on a VM.
--- a/internal/schedule/poolscheduler/place.go
+++ b/internal/schedule/poolscheduler/place.go
@@ -236,7 +236,7 @@
 			slog.Duration("waited", now.Sub(jst.waitingSince)))
 	}
 	return Order{Kind: StartTask, Target: sch.target(vst), Task: tst.id, Run: run, Start: agent.Start{
-		Task: tst.id, Run: run, Spec: jst.plan.Spec, Until: sch.extendLease(now, vst), Checkpoint: tst.checkpoint,
+		Task: tst.id, Run: run, Spec: jst.plan.Spec, Incarnation: vst.incarnation, Until: sch.extendLease(now, vst), Checkpoint: tst.checkpoint,
 	}}
 }
 
--- a/internal/standin/vmfleet/vmfleet.go
+++ b/internal/standin/vmfleet/vmfleet.go
@@ -219,6 +219,9 @@
 	}
 	flt.mu.Lock()
 	defer flt.mu.Unlock()
+	if ord.Incarnation != 0 && ord.Incarnation != vmo.host.Incarnation {
+		return agent.WrongIncarnation, errors.New("stand-in: another incarnation answers")
+	}
 	out = vmo.startRun(time.Now(), flt, tgt, ord)
 	if out != agent.Done {
 		err = errors.Newf("stand-in: refused with outcome %d", out)
