Use the list of VMs once all of it is read

A new owner that has not followed the list of VMs reads it a page at a time, one each 250 ms, and used VMs as the first pages showed them: one that drains by a later page got tasks. Pages now follow each other at once while announcements are left, and owners get the list after the last one. Its age counts from the request, not from the response.

TestListOfVMsIsUsedOnceItIsRead fails before: "tasks run on a VM that drains".

--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -31,11 +31,13 @@
 	Err   error
 }
 
-// HostPage is a page of announcements. With IsSnapshot it replaces all earlier pages.
+// HostPage is a page of announcements. With IsSnapshot it replaces all earlier pages. With HasMore
+// there were later announcements when it was read, so it does not show how things are.
 type HostPage struct {
 	Changes    []HostChange
 	Next       int64
 	IsSnapshot bool
+	HasMore    bool
 }
 
 // OperatorPage is a page of operator records. With IsSnapshot it has only the newest record of each
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -92,7 +92,7 @@
 	mu           sync.Mutex
 	partitions   []int
 	hosts        map[string]host.Host
-	vmListReadAt time.Time
+	vmListReadAt time.Time // when the last page was requested, after which none was left
 	// poolsChangedAt is when this entry learned of the last change of the active pools.
 	poolsChangedAt time.Time
 	owners         map[string]*owner.Owner
@@ -270,22 +270,21 @@
 			return
 		case <-tck.C:
 		}
-		if !svc.isOwning() {
-			continue
+		for hasMore := svc.isOwning(); hasMore; {
+			sent := time.Now()
+			ctx, cancel := context.WithTimeout(context.Background(), vmListTimeout)
+			page, err := svc.cfg.Directory.Hosts(ctx, cursor)
+			cancel()
+			if isAnswering != (err == nil) {
+				isAnswering = err == nil
+				svc.logVMListRead(time.Now(), err)
+			}
+			if err != nil {
+				break
+			}
+			cursor, hasMore = page.Next, page.HasMore && !isClosed(quit)
+			svc.applyVMList(time.Now(), sent, page)
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), vmListTimeout)
-		page, err := svc.cfg.Directory.Hosts(ctx, cursor)
-		cancel()
-		now := time.Now()
-		if isAnswering != (err == nil) {
-			isAnswering = err == nil
-			svc.logVMListRead(now, err)
-		}
-		if err != nil {
-			continue
-		}
-		cursor = page.Next
-		svc.applyVMList(now, page)
 	}
 }
 
@@ -303,8 +302,11 @@
 	svc.cfg.Journal.Warn(now, "vmListUnread", slog.String("error", err.Error()))
 }
 
-func (svc *Service) applyVMList(now time.Time, page directory.HostPage) {
+// applyVMList applies a page that was requested at sent. Owners get the list once no announcement is left: a
+// page from before shows VMs as they were.
+func (svc *Service) applyVMList(now, sent time.Time, page directory.HostPage) {
 	svc.mu.Lock()
+	defer svc.mu.Unlock()
 	if page.IsSnapshot {
 		clear(svc.hosts)
 	}
@@ -319,9 +321,11 @@
 			svc.hosts[chg.ID] = chg.Host
 		}
 	}
-	svc.vmListReadAt = now
+	if page.HasMore {
+		return
+	}
+	svc.vmListReadAt = sent
 	svc.updateOwners(now)
-	svc.mu.Unlock()
 }
 
 // updateOwners passes each owner the VMs of its pool. The caller holds the lock.
--- a/internal/schedule/service/service_test.go
+++ b/internal/schedule/service/service_test.go
@@ -49,6 +49,7 @@
 	tables    tableLog
 	late      atomic.Int32 // entry whose long polls for configurations get no answer, or noEntry
 	off       atomic.Bool  // the VMs of pool are off
+	paged     atomic.Bool  // the list of VMs comes in pages: by the first, vm-0 is not draining, by the last it is
 	odd       atomic.Bool  // the announcement of vm-0 and one that names no VM can't be read
 	cut       atomic.Int32 // entry whose joins fail, or noEntry or allEntries
 	down      atomic.Bool  // the log fails all joins, appends and reads
@@ -237,11 +238,19 @@
 	}
 }
 
+// pages is the number of pages that announce vm-0 as it was, while site.paged is set.
+const pages = 20
+
 func (ste *site) directory(entry int) directory.Client {
 	return directory.Client{
 		Hosts: func(_ context.Context, cursor int64) (directory.HostPage, error) {
 			page := directory.HostPage{IsSnapshot: cursor == directory.StartCursor, Next: 1}
+			if ste.paged.Load() {
+				page.HasMore = cursor < pages
+				page.Next = min(max(cursor, 0)+1, pages+1)
+			}
 			for _, hst := range ste.fleet.Hosts() {
+				hst.IsDraining = ste.paged.Load() && hst.ID == "vm-0" && !page.HasMore
 				if ste.off.Load() && hst.Pool == pool {
 					page.Changes = append(page.Changes, directory.HostChange{ID: hst.ID, IsGone: true})
 					continue
@@ -628,3 +637,16 @@
 		}
 	}
 }
+
+// Guards against tasks on a VM that drains: a new owner read the list of VMs a page each 250 ms, and used the VMs as
+// the first pages showed them. The last page has them as they are.
+func TestListOfVMsIsUsedOnceItIsRead(t *testing.T) {
+	ste := startSite(t, 0)
+	ste.paged.Store(true)
+	ste.startEntry(entryMilliCores)
+	if ste.runsOn("vm-0", job(1)) {
+		t.Error("tasks run on a VM that drains")
+	}
+	ste.stop()
+	ste.checkInvariants()
+}
