Keep the orders of earlier fleet controllers on record

The record of recent orders named only those of the controller that wrote it. After two changes of controller within the lease the third did not know of the first one's orders, and ordered the same machine 2.05 s later: two holders that take turns within the lease of 3 s. A controller now takes over the orders that it finds on record, with their ages, until they have aged out.

TestOrdersOfEarlierControllersStayOnRecord fails before: "holder-2 orders the machine 2.052s after holder-0 did, want 3s or more". The format of the record is the same.

--- a/internal/schedule/fleetcontroller/fleetcontroller_test.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller_test.go
@@ -307,6 +307,40 @@
 	})
 }
 
+// Guards against a third fleet controller that orders a machine within the lease of an order of the first: the second
+// one, which ordered other machines, put only these on record.
+func TestOrdersOfEarlierControllersStayOnRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
+		for num, machine := range []string{"gate-0", "gate-1", "gate-2"} {
+			ctl := openController(t, log, plt, fmt.Sprint("holder-", num))
+			named := []string{machine}
+			if num == 2 {
+				named = append(named, "gate-0")
+			}
+			ctl.RequestWave(time.Now(), maintenance.Wave{Number: int64(num + 1), Machines: named, Cap: 3, Within: time.Minute})
+			plt.runFor(ctl, 0, 700*time.Millisecond)
+			if num == 2 {
+				plt.runFor(ctl, 0, 6*time.Second)
+			}
+			ctl.Close()
+		}
+		var last order
+		for _, ord := range plt.orders {
+			if ord.machine != "gate-0" {
+				continue
+			}
+			if last.holder != "" && ord.at.Sub(last.at) < orderLease {
+				t.Errorf("%s orders the machine %s after %s did, want %s or more", ord.holder, ord.at.Sub(last.at), last.holder, orderLease)
+			}
+			last = ord
+		}
+		if last.holder != "holder-2" || len(plt.orders) != 4 {
+			t.Errorf("%d orders, the last one for gate-0 by %q, want 4 and holder-2", len(plt.orders), last.holder)
+		}
+	})
+}
+
 func TestWaveKeepsItsCap(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
--- a/internal/schedule/fleetcontroller/recentorders.go
+++ b/internal/schedule/fleetcontroller/recentorders.go
@@ -70,15 +70,17 @@
 	}
 }
 
-// restoreRecentOrders blocks the machines that the previous controller may have ordered
-// recently.
+// restoreRecentOrders blocks the machines that the previous controllers may have ordered
+// recently. They stay on record until they have aged out, as this controller may be replaced before.
 func (ctl *Controller) restoreRecentOrders(data []byte) error {
 	var rct recentOrdersJSON
 	if err := json.Unmarshal(data, &rct); err != nil {
 		return errors.Wrap(err, "decode recent orders")
 	}
 	for _, ord := range rct.Machines {
-		ctl.blockedUntil[ord.Name] = ctl.takeoverAt.Add(ctl.handoverDelay() - time.Duration(ord.AgeMs)*time.Millisecond)
+		at := ctl.takeoverAt.Add(-time.Duration(ord.AgeMs) * time.Millisecond)
+		ctl.recentOrders[ord.Name] = at
+		ctl.blockedUntil[ord.Name] = at.Add(ctl.handoverDelay())
 	}
 	return nil
 }
