Bring the guards up to date, and close the gaps that they show

Four tests passed without what they guard:

- A cancel by an old route was caught by the read of the configuration alone: the owner's refusal has a check of its own now, in TestOwnerRefusesSubmissionsRoutedByOldConfig.
- The former owner of TestJobIsFoundByAFormerOwnerWithAnOldConfiguration was told of the move by the submission: that goes through an entry that has just started now, and the test checks that the former owner is late.
- The configuration was read in two places for a version that is asked for.
Owners now get a configuration before the gateway has it, so the second is gone.
- The pages of TestListOfVMsIsUsedOnceItIsRead came at once: they take 0.1 s each now.

--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -118,7 +118,8 @@
 	return gtw
 }
 
-// SetTable applies a new configuration of queues, before requests are routed by it.
+// SetTable applies a new configuration of queues, before requests are routed by it. The owners of this process
+// must have it by then.
 func (gtw *Gateway) SetTable(now time.Time, tab *queue.Table) {
 	gtw.mu.Lock()
 	defer gtw.mu.Unlock()
@@ -741,11 +742,6 @@
 	if err := gtw.readVersion(ctx, version); err != nil {
 		return err
 	}
-	if own.ConfigVersion() < version { // the configuration is being passed to the owners
-		if err := gtw.catchUp(ctx, time.Now()); err != nil {
-			return fault.Wrap(err, code.StaleRoute, "version %d of the configuration", version)
-		}
-	}
 	return own.AwaitVersion(ctx, version)
 }
 
--- a/internal/schedule/owner/owner_test.go
+++ b/internal/schedule/owner/owner_test.go
@@ -529,6 +529,18 @@
 		if err := own.Submit(t.Context(), time.Now(), job(3, 1), passes); err != nil {
 			t.Errorf("new job by an entry that does not tell its version: %v", err)
 		}
+		if _, _, err := own.State(old.Ref(), job(2, 1).ID); fault.CodeOf(err) != code.StaleRoute {
+			t.Errorf("state of an unknown job, routed by version 1: %v, want staleRoute", err)
+		}
+		if _, err := own.Cancel(t.Context(), time.Now(), old.Ref(), job(2, 1).ID); fault.CodeOf(err) != code.StaleRoute {
+			t.Errorf("cancel of an unknown job, routed by version 1: %v, want staleRoute", err)
+		}
+		if _, ok, err := own.State(old.Ref(), job(1, 1).ID); !ok || err != nil {
+			t.Errorf("state of a known job, routed by version 1: found %v (%v)", ok, err)
+		}
+		if _, ok, err := own.State(away.Queues()[0].Ref(), job(2, 1).ID); ok || err != nil {
+			t.Errorf("state of an unknown job, routed by version 2: found %v (%v)", ok, err)
+		}
 		que.Pool = pool
 		back := queue.NewTable(3, []queue.Queue{que}, []queue.Pool{{Name: pool}, {Name: "mill"}}).After(away)
 		own.SetTable(queue.NewTable(4, []queue.Queue{que}, []queue.Pool{{Name: pool}}).After(back))
--- a/internal/schedule/service/reroute_test.go
+++ b/internal/schedule/service/reroute_test.go
@@ -185,7 +185,11 @@
 	first := ste.queueAt(passes)
 	ste.putTable(2, rerouted(passes))
 	ste.awaitTableAt(mill)
-	ste.submit(mill, oneTask())
+	fresh := ste.startEntry(entryMilliCores) // knows no former pool to ask, so the former owner stays late
+	ste.submit(fresh, oneTask())
+	if version := gate.Table().Version(); version != first.Version {
+		t.Fatalf("the late entry has read version %d", version)
+	}
 	if state, found, err := gate.Gateway().State(t.Context(), first, oneTask().ID); !found || err != nil {
 		t.Errorf("state %s, found %v (%v)", state, found, err)
 	}
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -92,7 +92,7 @@
 	mu           sync.Mutex
 	partitions   []int
 	hosts        map[string]host.Host
-	vmListReadAt time.Time // when the last page was requested, after which none was left
+	vmListReadAt time.Time // when the last page was requested; none was left after it
 	// poolsChangedAt is when this entry learned of the last change of the active pools.
 	poolsChangedAt time.Time
 	owners         map[string]*owner.Owner
@@ -243,17 +243,17 @@
 		if isNext {
 			tab = tab.After(old)
 		}
+		svc.mu.Lock()
+		defer svc.mu.Unlock()
+		for _, own := range svc.owners {
+			own.SetTable(tab)
+		}
 		svc.gateway.SetTable(now, tab)
 		svc.table.Store(tab)
 		svc.cfg.Journal.Event(now, "configInForce", slog.Int64("version", tab.Version()), slog.Bool("isNext", isNext))
-		svc.mu.Lock()
-		defer svc.mu.Unlock()
 		if old == nil || !slices.Equal(old.Pools(), tab.Pools()) {
 			svc.poolsChangedAt = now
 		}
-		for _, own := range svc.owners {
-			own.SetTable(tab)
-		}
 	}
 }
 
--- a/internal/schedule/service/service_test.go
+++ b/internal/schedule/service/service_test.go
@@ -246,6 +246,7 @@
 		Hosts: func(_ context.Context, cursor int64) (directory.HostPage, error) {
 			page := directory.HostPage{IsSnapshot: cursor == directory.StartCursor, Next: 1}
 			if ste.paged.Load() {
+				time.Sleep(100 * time.Millisecond)
 				page.HasMore = cursor < pages
 				page.Next = min(max(cursor, 0)+1, pages+1)
 			}
