Lock the stand-in of the platform in two new tests

The race detector found the tests setting what the stand-in reads: TestListsFromBeforeAVMsAnswerDoNotEndIt failed in a trial of make race.

--- a/internal/schedule/fleetcontroller/missingvm_test.go
+++ b/internal/schedule/fleetcontroller/missingvm_test.go
@@ -14,10 +14,10 @@
 func TestListsFromBeforeAVMsAnswerDoNotEndIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log, plt := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}), newFakePlatform("gate", "haul")
+		plt.isHidden = func(machine string) bool { return machine == "gate-0" }
 		ctl := openController(t, log, plt, "first")
 		defer ctl.Close()
 		time.Sleep(time.Second)
-		plt.isHidden = func(machine string) bool { return machine == "gate-0" }
 		report := func(fence, revision int64, isUnresponsive bool) []balance.VM {
 			_, ended := ctl.HandleReport(time.Now(), balance.Pool{Name: "gate", FencingToken: fence, VMs: []balance.VM{{
 				ID: "vm-gate-0-0", MilliCores: 16000, IsUsable: !isUnresponsive, IsUnresponsive: isUnresponsive, Revision: revision,
--- a/internal/schedule/fleetcontroller/repeatedorder_test.go
+++ b/internal/schedule/fleetcontroller/repeatedorder_test.go
@@ -18,7 +18,7 @@
 // nor answers orders.
 func orderWithoutAnswers(t *testing.T, plt *fakePlatform, ctl *fleetcontroller.Controller) {
 	t.Helper()
-	plt.isSilent = true
+	plt.setSilent(true)
 	ctl.RequestWave(time.Now(), maintenance.Wave{Number: 1, Machines: []string{"gate-0", "gate-1"}, Cap: 2, Within: time.Minute})
 	plt.runFor(ctl, 0, 2*time.Second)
 	if plt.attemptCount() < 2 {
@@ -65,10 +65,10 @@
 		}
 		plt.isBusy = map[string]bool{"gate-1": true}
 		plt.runFor(ctl, 0, 5*time.Second)
+		ctl.Close()
 		if plt.orderCount() != 1 || plt.firstOrderAt("gate-0").IsZero() {
 			t.Errorf("%d machines ordered, want gate-0, which is evacuated again", plt.orderCount())
 		}
-		ctl.Close()
 	})
 }
 
