--- a/internal/schedule/service/fleet.go
+++ b/internal/schedule/service/fleet.go
@@ -119,6 +119,12 @@
 func (svc *Service) applyReportReply(now time.Time, own *owner.Owner, pool string, rpl reportReplyJSON, err error) {
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
+	if err == nil && rpl.Term != 0 && rpl.Term < svc.controllerTerm {
+		// The present controller counts on the evacuations that it has asked for.
+		svc.cfg.Journal.Event(now, "reportReplyIgnored", slog.String("pool", pool), slog.Int64("fence", rpl.Term), slog.Int64("latestFence", svc.controllerTerm))
+		rpl, err = reportReplyJSON{}, fault.New(code.StaleFence, "a later fleet controller has answered")
+	}
+	svc.controllerTerm = max(svc.controllerTerm, rpl.Term)
 	if err != nil {
 		if now.Sub(svc.evacuations[pool].at) < evacuationTTL {
 			return
--- a/internal/schedule/service/fleet_test.go
+++ b/internal/schedule/service/fleet_test.go
@@ -6,7 +6,9 @@
 	"testing"
 	"time"
 
+	"daisywheel/internal/event/journal"
 	"daisywheel/internal/fleet/balance"
+	"daisywheel/internal/schedule/owner"
 )
 
 // A fleet controller of this version answers owners of earlier ones, which report no revisions, as
@@ -47,3 +49,20 @@
 		t.Errorf("answer %+v to a report of this version, want the end of a at revision 7", rpl)
 	}
 }
+
+// Guards against an evacuation that is lifted by a former fleet controller while the present one orders the VM
+// away.
+func TestReplyOfAFormerControllerIsIgnored(t *testing.T) {
+	now := time.Unix(1000, 0)
+	svc := &Service{cfg: Config{Journal: journal.New(journal.Config{})}, evacuations: map[string]evacuation{}, owners: map[string]*owner.Owner{}}
+	own := &owner.Owner{} // of a term that is over, so that the reply is only noted
+	svc.applyReportReply(now, own, "gate", reportReplyJSON{Evacuating: []string{"a"}, Term: 7, Stamp: 1}, nil)
+	svc.applyReportReply(now.Add(time.Second), own, "gate", reportReplyJSON{Evacuating: []string{"b"}, Term: 5, Stamp: 2}, nil)
+	if evc := svc.evacuations["gate"]; !evc.vms["a"] || evc.vms["b"] || evc.term != 7 {
+		t.Errorf("evacuation %+v, want that of the term 7", evc)
+	}
+	svc.applyReportReply(now.Add(2*time.Second), own, "gate", reportReplyJSON{Evacuating: []string{"b"}}, nil)
+	if evc := svc.evacuations["gate"]; !evc.vms["b"] {
+		t.Errorf("evacuation %+v, want that of the controller of an earlier version", evc)
+	}
+}
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -108,6 +108,7 @@
 	waves             map[int64]maintenance.Wave
 	evacuations       map[string]evacuation // by pool
 	controllerAddress string                // "" while unknown
+	controllerTerm    int64                 // highest term of a fleet controller that has answered a report
 	reportRequested   chan struct{}
 	loops             []*loop.Loop
 	stopping          atomic.Bool
