Let an entry catch up with configurations while the log is slow

A read of the operator's records that does not wait was given 0.2 s three times; a log that is 60 times slower than usual takes 0.24 s, so an entry could not say of any job that it is unknown, nor answer for a version. Found by reading. Each attempt now has twice the time of the one before.

TestCatchUpWithASlowLog fails before: "context deadline exceeded".

--- a/internal/fleet/operatorfeed/operatorfeed.go
+++ b/internal/fleet/operatorfeed/operatorfeed.go
@@ -22,9 +22,10 @@
 	// retryDelay is the pause after a failed long poll. A configuration has to be in force within 2 s
 	// of its acknowledgement.
 	retryDelay = 150 * time.Millisecond
-	// readTimeout bounds a read that does not wait for records: 50 times the usual 4 ms.
-	readTimeout = 200 * time.Millisecond
-	// readAttempts is how often such a read is tried, as the connection of the first may be silent.
+	// readTimeout bounds the first attempt of a read that does not wait for records: 50 times the usual
+	// 4 ms. Its connection may be silent, or the log slow, so it is tried readAttempts times, with twice the
+	// timeout each time.
+	readTimeout  = 200 * time.Millisecond
 	readAttempts = 3
 )
 
@@ -105,7 +106,7 @@
 	}
 	failed := 0
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, readTimeout<<failed)
 		isEnd, err := fed.read(callCtx, 0)
 		cancel()
 		switch {
--- a/internal/fleet/operatorfeed/operatorfeed_test.go
+++ b/internal/fleet/operatorfeed/operatorfeed_test.go
@@ -25,6 +25,7 @@
 	isSilent bool // long polls get no answer
 	isDown   bool
 	kept     int64 // offset of the oldest record that is kept
+	latency  time.Duration
 }
 
 func (log *fakeLog) read(ctx context.Context, cursor int64, wait time.Duration) (directory.OperatorPage, error) {
@@ -39,7 +40,11 @@
 			<-ctx.Done()
 			return directory.OperatorPage{}, ctx.Err()
 		case len(page.Records) > 0 || !time.Now().Before(limit):
-			time.Sleep(4 * time.Millisecond)
+			select {
+			case <-ctx.Done():
+				return directory.OperatorPage{}, ctx.Err()
+			case <-time.After(log.latency):
+			}
 			log.mu.Lock()
 			defer log.mu.Unlock()
 			log.reads++
@@ -91,7 +96,7 @@
 // configuration that others may lie before is not taken for the next one.
 func TestCatchUpWhileLongPollIsSilent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log, apl := &fakeLog{end: 3, kept: 0}, &applied{}
+		log, apl := &fakeLog{end: 3, latency: 4 * time.Millisecond}, &applied{}
 		fed := newFeed(log, apl)
 		quit, done := make(chan struct{}), make(chan struct{})
 		go func() { defer close(done); fed.Run(quit) }()
@@ -116,7 +121,7 @@
 // a read that was sent before it came.
 func TestCatchUpsShareReads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log, apl := &fakeLog{end: 1}, &applied{}
+		log, apl := &fakeLog{end: 1, latency: 4 * time.Millisecond}, &applied{}
 		fed := newFeed(log, apl)
 		if err := fed.CatchUp(t.Context(), time.Now()); err != nil {
 			t.Fatal(err)
@@ -147,3 +152,14 @@
 		}
 	})
 }
+
+// A log that is 60 times slower than usual does not keep an entry from catching up.
+func TestCatchUpWithASlowLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, apl := &fakeLog{end: 2, latency: 240 * time.Millisecond}, &applied{}
+		fed := newFeed(log, apl)
+		if err := fed.CatchUp(t.Context(), time.Now()); err != nil || !slices.Equal(apl.list, []string{"1"}) {
+			t.Errorf("applied %v (%v), want 1", apl.list, err)
+		}
+	})
+}
--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -49,6 +49,9 @@
 	// callTimeout bounds a call to an owner: twice the time of an append to a state
 	// log that is 60 times slower than usual.
 	callTimeout = 900 * time.Millisecond
+	// readVersionTimeout bounds the reading of a configuration that another entry asks for; its call takes
+	// callTimeout at most.
+	readVersionTimeout = 700 * time.Millisecond
 	// repeatTime is how long after a change of a queue's pool callers may repeat submissions
 	// that the former one has accepted.
 	repeatTime = time.Minute
@@ -725,7 +728,7 @@
 		return nil
 	}
 	now := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, callTimeout/2)
+	ctx, cancel := context.WithTimeout(ctx, readVersionTimeout)
 	defer cancel()
 	err := gtw.catchUp(ctx, now)
 	present := gtw.version()
