--- a/internal/schedule/owner/longlease_test.go
+++ b/internal/schedule/owner/longlease_test.go
@@ -15,13 +15,17 @@
 // then on. Its new clock made the leases as long as it grants, 10 s, where the owner expected 6 s.
 // The tasks started elsewhere while they ran on. Some of the owners are replaced meanwhile.
 func TestLeasesOfARestartedVMLastAsLongAsItGrants(t *testing.T) {
-	for seed := range uint64(40) {
+	for seed := range uint64(80) {
 		synctest.Test(t, func(t *testing.T) {
+			open := (*fixture).open
+			if seed >= 40 {
+				open = (*fixture).openEarlier
+			}
 			rnd := rand.New(rand.NewPCG(seed, 0))
 			ms := func(low, high int) time.Duration { return time.Duration(low+rnd.IntN(high-low)) * time.Millisecond }
 			fxt := newFixture(t, 2, logstore.Config{})
 			fxt.runTime = 9500 * time.Millisecond
-			own := fxt.open()
+			own := open(fxt)
 			time.Sleep(time.Minute + ms(0, 5000))
 			fxt.fleet.Reboot(time.Now(), "vm-0")
 			time.Sleep(ms(0, 1900))
@@ -34,7 +38,7 @@
 			if seed%2 == 0 {
 				time.Sleep(ms(0, 3000))
 				own.Close()
-				own = fxt.open()
+				own = fxt.open() // of the present version
 			}
 			time.Sleep(40 * time.Second)
 			fxt.checkInvariants()
--- a/internal/schedule/owner/owner_test.go
+++ b/internal/schedule/owner/owner_test.go
@@ -99,6 +99,19 @@
 	return own
 }
 
+// openEarlier opens an owner as of an earlier version of the program, whose start orders reach any incarnation of
+// a VM.
+func (fxt *fixture) openEarlier() *owner.Owner {
+	fxt.t.Helper()
+	agt := fxt.fleet.Agent()
+	start := agt.Start
+	agt.Start = func(ctx context.Context, tgt agent.Target, ord agent.Start) (agent.Outcome, error) {
+		ord.Incarnation = 0
+		return start(ctx, tgt, ord)
+	}
+	return fxt.openWith(fxt.store.Client(), agt)
+}
+
 func job(num, width int) *plan.Plan {
 	dmd := plan.Demand{MilliCores: 1000, MemoryMB: 100}
 	return &plan.Plan{ID: fmt.Sprintf("%016x", num), Spec: "x", Steps: []plan.Step{
--- a/internal/schedule/owner/restart_test.go
+++ b/internal/schedule/owner/restart_test.go
@@ -9,6 +9,7 @@
 
 	"daisywheel/internal/fleet/agent"
 	"daisywheel/internal/job/plan"
+	"daisywheel/internal/schedule/owner"
 	"daisywheel/internal/standin/logstore"
 )
 
@@ -17,7 +18,7 @@
 func TestTaskOnRestartedVMDoesNotRunElsewhereAfterChangeOfOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fxt := newFixture(t, 2, logstore.Config{})
-		first := fxt.open()
+		first := fxt.openEarlier()
 		time.Sleep(time.Second)
 		fxt.fleet.Reboot(time.Now(), "vm-0")
 		fxt.fleet.Reboot(time.Now(), "vm-1")
@@ -49,10 +50,16 @@
 // VMs restart under their ids while short jobs come. An owner learns of a restart from the
 // list of VMs, which lags behind, or from the next poll, as the open one stays silent.
 func TestTasksRunOnceThroughRestartsOfVMs(t *testing.T) {
+	for name, open := range map[string]func(*fixture) *owner.Owner{"present version": (*fixture).open, "earlier version": (*fixture).openEarlier} {
+		t.Run(name, func(t *testing.T) { checkRestartsOfVMs(t, open) })
+	}
+}
+
+func checkRestartsOfVMs(t *testing.T, open func(*fixture) *owner.Owner) {
 	synctest.Test(t, func(t *testing.T) {
 		const vms, jobs = 6, 120
 		fxt := newFixture(t, vms, logstore.Config{})
-		own := fxt.open()
+		own := open(fxt)
 		time.Sleep(time.Second)
 		done := make(chan struct{})
 		go func() {
