--- a/internal/schedule/gateway/formerpool_test.go
+++ b/internal/schedule/gateway/formerpool_test.go
@@ -82,3 +82,36 @@
 }
 
 func oneStep(id string) *plan.Plan { return &plan.Plan{ID: id, Steps: []plan.Step{{Count: 1}}} }
+
+// A former owner that stays silent holds up no submission until its caller's time is over.
+func TestSilentFormerOwnerIsNotWaitedForLong(t *testing.T) {
+	t.Parallel()
+	log := logstore.New(logstore.Config{}).Client()
+	var asked atomic.Int64
+	ept := startPeerWith(t, log, func(json.RawMessage) (any, error) { return map[string]any{}, nil })
+	ept.Handle("job.state", func(ctx context.Context, _ json.RawMessage) (any, error) {
+		asked.Add(1)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	former, err := claim.FindOwner(t.Context(), log, "gate")
+	if err == nil {
+		_, err = claim.Acquire(t.Context(), log, "old", former)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	gtw := newGateway(t, log, func() bool { return true })
+	que := queue.Queue{Name: "q", Host: "h", Prefix: "/q/", Pool: "old"}
+	first := queue.NewTable(3, []queue.Queue{que}, nil)
+	gtw.SetTable(time.Now().Add(-time.Hour), first)
+	que.Pool = "gate"
+	moved := queue.NewTable(5, []queue.Queue{que}, nil).After(first)
+	gtw.SetTable(time.Now(), moved)
+	present, _ := moved.At("h/q/")
+	ctx, cancel := context.WithTimeout(t.Context(), 8*time.Second)
+	defer cancel()
+	if err := gtw.Submit(ctx, time.Now(), present, oneStep("00000000000000e2")); fault.CodeOf(err) != code.NotReady || asked.Load() > 3 {
+		t.Errorf("submission: %v after %d questions, want notReady after 3 at most", err, asked.Load())
+	}
+}
--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -52,6 +52,9 @@
 	// readVersionTimeout bounds the reading of a configuration that another entry asks for; its call takes
 	// callTimeout at most.
 	readVersionTimeout = 700 * time.Millisecond
+	// reachTimeout bounds the search for an owner that has to be asked: a call and a lookup of the next
+	// owner.
+	reachTimeout = callTimeout + findOwnerTimeout/2
 	// repeatTime is how long after a change of a queue's pool callers may repeat submissions
 	// that the former one has accepted.
 	repeatTime = time.Minute
@@ -418,7 +421,14 @@
 
 // stateIn returns the state of a job in one pool.
 func (gtw *Gateway) stateIn(ctx context.Context, req request) (ste jobrecord.State, found bool, err error) {
-	rep, err := gtw.call(ctx, methodState, req, func(own *owner.Owner) (reply, error) { return gtw.stateOf(ctx, own, req) })
+	callCtx := ctx
+	if req.mustReachOwner {
+		// The caller is better served by a refusal than by a wait for an owner that stays silent.
+		var stop context.CancelFunc
+		callCtx, stop = context.WithTimeout(ctx, reachTimeout)
+		defer stop()
+	}
+	rep, err := gtw.call(callCtx, methodState, req, func(own *owner.Owner) (reply, error) { return gtw.stateOf(callCtx, own, req) })
 	if err == nil && rep.IsFound {
 		return rep.State, true, nil
 	}
