Let a submission follow a queue that returns while it is under way

Reading the diff: an entry that is one configuration behind asks the queue's former pool for the job; if that has the queue again, it answers staleRoute, which was passed on as notReady, so the entry did not read the configuration and the caller got 503. The code is kept now.

TestSubmissionFollowsAQueueThatReturnsMeanwhile fails before ("job is not known"). TestJobsOfAMovedQueueWaitForTheFormerOwner expects the code staleRoute of an owner that lags.

--- a/internal/schedule/gateway/formerpool_test.go
+++ b/internal/schedule/gateway/formerpool_test.go
@@ -26,7 +26,7 @@
 		want   code.Code
 	}{
 		{"it has read of the move", nil, false, code.OK},
-		{"it lags", fault.New(code.StaleRoute, "not read yet"), false, code.NotReady},
+		{"it lags", fault.New(code.StaleRoute, "not read yet"), false, code.StaleRoute},
 		{"it is not the owner any more", fault.New(code.NotReady, "not the owner"), false, code.OK},
 		{"it can't be reached", nil, true, code.NotReady},
 	} {
--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -293,7 +293,10 @@
 		req := newRequest(pool, que, id)
 		req.MinVersion, req.mustReachOwner = que.Since, now.Sub(left[pool]) < lagLimit
 		_, found, err := gtw.stateIn(ctx, req)
-		if err != nil {
+		switch {
+		case fault.CodeOf(err) == code.StaleRoute: // the owner lags, or this entry does
+			return false, fault.Wrap(err, code.StaleRoute, "whether the pool %s has job %s", pool, id)
+		case err != nil:
 			return false, fault.Wrap(err, code.NotReady, "whether the pool %s has job %s", pool, id)
 		}
 		if found {
--- a/internal/schedule/service/fleet.go
+++ b/internal/schedule/service/fleet.go
@@ -122,7 +122,7 @@
 	if err == nil && rpl.Term != 0 && rpl.Term < svc.controllerTerm {
 		// The present controller counts on the evacuations that it has asked for.
 		svc.cfg.Journal.Event(now, "reportReplyIgnored", slog.String("pool", pool), slog.Int64("fence", rpl.Term), slog.Int64("latestFence", svc.controllerTerm))
-		rpl, err = reportReplyJSON{}, fault.New(code.StaleFence, "a later fleet controller has answered")
+		rpl, err = reportReplyJSON{}, fault.New(code.NotReady, "a later fleet controller has answered")
 	}
 	svc.controllerTerm = max(svc.controllerTerm, rpl.Term)
 	if err != nil {
@@ -238,7 +238,7 @@
 	IsUsable       bool   `json:"isUsable,omitempty"`
 	IsEvacuating   bool   `json:"isLeaving,omitempty"`
 	IsUnresponsive bool   `json:"isSilent,omitempty"`
-	Revision       int64  `json:"revision,omitempty"`
+	Revision       int64  `json:"revision,omitempty"` // of an unresponsive VM
 }
 
 // reportReplyJSON is the fleet controller's reply to a report. Evacuating and MaintenanceDue list
@@ -292,11 +292,14 @@
 	msg := poolJSON{Name: pol.Name, FencingToken: pol.FencingToken, Demand: pol.Demand, LateDemand: pol.LateDemand, LongRunningDeficit: pol.LongRunningDeficit, Work: pol.Arrived.Work, Jobs: pol.Arrived.Jobs, VMs: make([]vmJSON, 0, len(pol.VMs)),
 		HasAcks: pol.HasAcks, AckedTerm: pol.AckedTerm, AckedStamp: int64(pol.AckedAt)}
 	for _, vm := range pol.VMs {
-		msg.VMs = append(msg.VMs, vmJSON{
+		row := vmJSON{
 			ID: vm.ID, MilliCores: vm.MilliCores, Tasks: vm.Tasks, LongRunning: vm.LongRunning,
 			AgeMs: min(now.Sub(vm.Since), maxAge).Milliseconds(), IsUsable: vm.IsUsable, IsEvacuating: vm.IsEvacuating, IsUnresponsive: vm.IsUnresponsive,
-			Revision: vm.Revision,
-		})
+		}
+		if vm.IsUnresponsive { // only such a VM may be said to have ended
+			row.Revision = vm.Revision
+		}
+		msg.VMs = append(msg.VMs, row)
 	}
 	return msg
 }
--- a/internal/schedule/service/reroute_test.go
+++ b/internal/schedule/service/reroute_test.go
@@ -154,6 +154,26 @@
 	ste.checkInvariants()
 }
 
+// The queue goes away and comes back while a submission is under way: the entry that makes it asks the former
+// pool, which has the queue again, by the route in between.
+func TestSubmissionFollowsAQueueThatReturnsMeanwhile(t *testing.T) {
+	ste, gate, mill, other := startRerouting(t)
+	ste.putTable(2, rerouted(passes))
+	ste.awaitTable()
+	between := ste.queueAt(passes)
+	ste.setLate(other)
+	ste.putTable(3, passes)
+	ste.awaitTableAt(gate)
+	ste.awaitTableAt(mill)
+	if err := other.Gateway().Submit(t.Context(), time.Now(), between, oneTask()); err != nil {
+		t.Errorf("submission by version 2: %v", err)
+	}
+	ste.await(gate, oneTask().ID)
+	ste.late.Store(noEntry)
+	ste.stop()
+	ste.checkInvariants()
+}
+
 // Guards against a cancel that is answered as if there were no such job, which goes on: its queue went to
 // another pool, and the entry that is asked has not read of it.
 func TestJobIsFoundByAnEntryWithAnOldConfiguration(t *testing.T) {
