--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -205,7 +205,7 @@
 	if err != nil {
 		return fault.Wrap(err, code.BadShape, "job cannot be stored")
 	}
-	_, err = gtw.byRoute(ctx, now, que, func(que queue.Queue) (reply, error) {
+	_, err = gtw.byRoute(ctx, now, que, pln.ID, func(que queue.Queue) (reply, error) {
 		isAccepted, err := gtw.isAcceptedBefore(ctx, now, que, pln.ID)
 		if isAccepted || err != nil {
 			return reply{IsFound: isAccepted}, err
@@ -220,9 +220,9 @@
 	return err
 }
 
-// byRoute makes a request by the queue's route, and again if that may not have been the present one when
+// byRoute makes a request about a job by the queue's route, and again if that may not have been the present one when
 // the request came: an owner says that the queue has been rerouted since, or no job is found.
-func (gtw *Gateway) byRoute(ctx context.Context, now time.Time, que queue.Queue, send func(que queue.Queue) (reply, error)) (reply, error) {
+func (gtw *Gateway) byRoute(ctx context.Context, now time.Time, que queue.Queue, id string, send func(que queue.Queue) (reply, error)) (reply, error) {
 	for {
 		rep, err := send(que)
 		isStale := fault.CodeOf(err) == code.StaleRoute
@@ -243,7 +243,7 @@
 		if !ok || !isNewer || ctx.Err() != nil {
 			return rep, err
 		}
-		gtw.cfg.Journal.Event(time.Now(), "requestRerouted", slog.String("queue", que.Name), slog.Int64("version", que.Version),
+		gtw.cfg.Journal.Event(time.Now(), "requestRerouted", slog.String("job", id), slog.String("queue", que.Name), slog.Int64("version", que.Version),
 			slog.Int64("since", next.Since), slog.String("from", que.Pool), slog.String("to", next.Pool))
 		que = next
 	}
@@ -374,7 +374,7 @@
 // answer, the state log is read, so that a job is reported as missing only if it is
 // not stored.
 func (gtw *Gateway) State(ctx context.Context, que queue.Queue, id string) (ste jobrecord.State, found bool, err error) {
-	rep, err := gtw.byRoute(ctx, time.Now(), que, func(que queue.Queue) (reply, error) {
+	rep, err := gtw.byRoute(ctx, time.Now(), que, id, func(que queue.Queue) (reply, error) {
 		ste, found, err := gtw.stateByRoute(ctx, que, id)
 		return reply{IsFound: found, State: ste}, err
 	})
@@ -460,7 +460,7 @@
 
 // Cancel cancels a job. It reports false when there is no such job.
 func (gtw *Gateway) Cancel(ctx context.Context, now time.Time, que queue.Queue, id string) (found bool, err error) {
-	rep, err := gtw.byRoute(ctx, now, que, func(que queue.Queue) (reply, error) {
+	rep, err := gtw.byRoute(ctx, now, que, id, func(que queue.Queue) (reply, error) {
 		found, err := gtw.cancelByRoute(ctx, now, que, id)
 		return reply{IsFound: found}, err
 	})
