--- a/internal/schedule/fleetcontroller/repeatedorder_test.go
+++ b/internal/schedule/fleetcontroller/repeatedorder_test.go
@@ -44,7 +44,7 @@
 	plt.isSilent = isSilent
 }
 
-// Guards against upkeep that ends more tasks of a step than may be missed: orders without an answer
+// Guards against maintenance that ends more tasks of a step than may be missed: orders without an answer
 // were repeated after the owner had given the machines tasks again.
 func TestOrderIsRepeatedOnlyForAMachineThatIsEvacuated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -99,7 +99,7 @@
 	})
 }
 
-// Guards against upkeep that ends tasks by a report that was on its way for longer than its owner keeps the VM
+// Guards against maintenance that ends tasks by a report that was on its way for longer than its owner keeps the VM
 // closed, as when a cut between the entries heals.
 func TestOrderIsNotSentByAReportThatArrivesLate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
