Pass the time since boot to the decisions on orders

isFreeOfTasks, isReported, evacuatedVMs, readyOperations and expireOperations read the clock themselves. One round of the controller now reads it once, after the list of machines, and decides by that. No test changed; those of the package pass.

--- a/internal/schedule/fleetcontroller/fleetcontroller.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller.go
@@ -304,10 +304,11 @@
 func (ctl *Controller) step(now time.Time) {
 	ctl.refreshMachines(now)
 	ctl.mu.Lock()
-	ctl.expireOperations(now)
+	sinceBoot := ctl.cfg.SinceBoot() // the list may have taken long
+	ctl.expireOperations(now, sinceBoot)
 	ctl.planWaves(now)
 	ctl.planMoves(now)
-	ready := ctl.readyOperations(now)
+	ready := ctl.readyOperations(now, sinceBoot)
 	ctl.mu.Unlock()
 	if len(ready) > 0 {
 		ctl.sendOrders(now, ready)
--- a/internal/schedule/fleetcontroller/operation.go
+++ b/internal/schedule/fleetcontroller/operation.go
@@ -73,9 +73,9 @@
 }
 
 // expireOperations cancels operations that take too long: the VM cannot be evacuated, or
-// the machine is not up again after a move.
-func (ctl *Controller) expireOperations(now time.Time) {
-	load, evacuated := ctl.load(), ctl.evacuatedVMs()
+// the machine is not up again after a move. The time since boot is that of now.
+func (ctl *Controller) expireOperations(now time.Time, sinceBoot time.Duration) {
+	load, evacuated := ctl.load(), ctl.evacuatedVMs(sinceBoot)
 	for name, opr := range ctl.operations {
 		age, limit := now.Sub(opr.startedAt), evacuationTimeout
 		if load[opr.vm].LongRunning > 0 {
@@ -97,12 +97,12 @@
 }
 
 // readyOperations returns the operations whose order can be sent now, the oldest first and
-// at most ordersPerRound, and marks them as in flight.
-func (ctl *Controller) readyOperations(now time.Time) []*operation {
-	evacuated := ctl.evacuatedVMs()
+// at most ordersPerRound, and marks them as in flight. The time since boot is that of now.
+func (ctl *Controller) readyOperations(now time.Time, sinceBoot time.Duration) []*operation {
+	evacuated := ctl.evacuatedVMs(sinceBoot)
 	var ready []*operation
 	for _, opr := range ctl.operations {
-		knownAt, isFree := ctl.isFreeOfTasks(opr, evacuated)
+		knownAt, isFree := ctl.isFreeOfTasks(sinceBoot, opr, evacuated)
 		if !isFree || ctl.isBlocked(now, opr.machine) || opr.isExecuted || opr.isInFlight || now.Sub(opr.outcomeAt) < orderRetryDelay {
 			continue
 		}
@@ -123,15 +123,15 @@
 // since boot. Its VM must be evacuated, also for an order that is repeated: the owner lifts an evacuation
 // when it gets no answers. That it is the VM's machine still is known while the VM answers its owner, or else
 // from a recent list. A machine that is not up after an earlier order, or whose pool is on standby, has no VM.
-func (ctl *Controller) isFreeOfTasks(opr *operation, evacuated map[string]evacuation) (knownAt time.Duration, isFree bool) {
+func (ctl *Controller) isFreeOfTasks(sinceBoot time.Duration, opr *operation, evacuated map[string]evacuation) (knownAt time.Duration, isFree bool) {
 	mac, ok := ctl.machines[opr.machine]
 	if !ok {
 		return 0, false
 	}
-	if ctl.isStandby(mac.Pool) && !ctl.isReported(mac.VM) {
-		return ctl.cfg.SinceBoot(), true
+	if ctl.isStandby(mac.Pool) && !ctl.isReported(sinceBoot, mac.VM) {
+		return sinceBoot, true
 	}
-	listAge := ctl.cfg.SinceBoot() - ctl.listedSinceBoot
+	listAge := sinceBoot - ctl.listedSinceBoot
 	if evc := evacuated[opr.vm]; opr.isEvacuated(evc) && mac.VM == opr.vm && (evc.isAnswering || listAge <= maxVMListAge) {
 		return evc.sinceBoot, true
 	}
@@ -141,12 +141,12 @@
 
 // isReported reports whether an owner has the VM in its last report. The configuration that has its pool on
 // standby may be old, and tasks run there. An owner that can't report for maxUnreportedTime has ended.
-func (ctl *Controller) isReported(vm string) bool {
+func (ctl *Controller) isReported(sinceBoot time.Duration, vm string) bool {
 	if vm == "" {
 		return false
 	}
 	for _, rpt := range ctl.reports {
-		if ctl.cfg.SinceBoot()-rpt.sinceBoot > maxUnreportedTime {
+		if sinceBoot-rpt.sinceBoot > maxUnreportedTime {
 			continue
 		}
 		if slices.ContainsFunc(rpt.pool.VMs, func(rvm balance.VM) bool { return rvm.ID == vm }) {
@@ -178,7 +178,7 @@
 // evacuatedVMs returns the VMs that are evacuated according to recent reports of the pools' owners. The age
 // of a report counts from the answer that it acknowledges: the report itself may have been on its way
 // for longer than the owner keeps a VM closed.
-func (ctl *Controller) evacuatedVMs() map[string]evacuation {
+func (ctl *Controller) evacuatedVMs(sinceBoot time.Duration) map[string]evacuation {
 	evacuated := map[string]evacuation{}
 	for _, rpt := range ctl.reports {
 		evc := evacuation{at: rpt.at, sinceBoot: rpt.sinceBoot, isAcked: rpt.pool.HasAcks}
@@ -186,7 +186,7 @@
 			evc.sinceBoot = rpt.pool.AckedAt
 		}
 		isOfOtherTerm := evc.isAcked && rpt.pool.AckedTerm != ctl.clm.FencingToken()
-		if isOfOtherTerm || ctl.cfg.SinceBoot()-evc.sinceBoot > maxReportAge {
+		if isOfOtherTerm || sinceBoot-evc.sinceBoot > maxReportAge {
 			continue
 		}
 		for _, vm := range rpt.pool.VMs {
