--- a/internal/schedule/owner/restart_test.go
+++ b/internal/schedule/owner/restart_test.go
@@ -16,9 +16,15 @@
 // An owner starts a task on a VM that has restarted under its id. The next owner reads the VM's
 // record and must wait for its report.
 func TestTaskOnRestartedVMDoesNotRunElsewhereAfterChangeOfOwner(t *testing.T) {
+	for name, open := range map[string]func(*fixture) *owner.Owner{"present version": (*fixture).open, "earlier version": (*fixture).openEarlier} {
+		t.Run(name, func(t *testing.T) { checkRestartAndChangeOfOwner(t, open) })
+	}
+}
+
+func checkRestartAndChangeOfOwner(t *testing.T, open func(*fixture) *owner.Owner) {
 	synctest.Test(t, func(t *testing.T) {
 		fxt := newFixture(t, 2, logstore.Config{})
-		first := fxt.openEarlier()
+		first := open(fxt)
 		time.Sleep(time.Second)
 		fxt.fleet.Reboot(time.Now(), "vm-0")
 		fxt.fleet.Reboot(time.Now(), "vm-1")
