Admit callers by the API keys of their organisations

Change: an entry looks up the organisation of the key and refuses others with 401 before it reads a body. Where the settings bound the use of revoked keys, it serves a keyed request only while a read that left no record unread was sent within the bound, by the clock that counts suspension. Jobs carry their organisation and are shown to it only. Configurations without organisations are served as before.

--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -46,6 +46,7 @@
 	Records    []OperatorRecord
 	Next       int64
 	IsSnapshot bool
+	HasMore    bool // there were later records when it was read
 }
 
 // Machine is a VM across its incarnations, as the platform's operators know it.
--- a/internal/fleet/operatorfeed/operatorfeed.go
+++ b/internal/fleet/operatorfeed/operatorfeed.go
@@ -10,6 +10,7 @@
 
 	"daisywheel/internal/event/journal"
 	"daisywheel/internal/fleet/directory"
+	"daisywheel/internal/kernel/boottime"
 )
 
 const (
@@ -37,6 +38,9 @@
 	// Apply handles a record, one at a time. IsNext reports whether every record between the last
 	// configuration and this one has been applied.
 	Apply func(now time.Time, rec directory.OperatorRecord, isNext bool)
+	// SinceBoot is a clock that also counts the time for which the machine was suspended; nil
+	// stands for boottime.Now.
+	SinceBoot func() time.Duration
 }
 
 // Feed reads the records for one process. It is safe for concurrent use.
@@ -48,10 +52,18 @@
 	hasGap  bool // records since the last configuration may not have been applied
 	// caughtUpAt is when a read was sent that found all records applied.
 	caughtUpAt time.Time
+	// provenAt is when the last read was sent after which all records were applied, on the clock
+	// SinceBoot; 0 for none.
+	provenAt time.Duration
+	// isUnreadable is set while the newest record that may be a configuration can't be read.
+	isUnreadable bool
 }
 
 // New returns a Feed that has read nothing.
 func New(cfg Config) *Feed {
+	if cfg.SinceBoot == nil {
+		cfg.SinceBoot = boottime.Now
+	}
 	return &Feed{cfg: cfg, reading: make(chan struct{}, 1), cursor: directory.StartCursor, hasGap: true}
 }
 
@@ -89,6 +101,17 @@
 	fed.cfg.Journal.Warn(now, "operatorUnread", slog.String("error", err.Error()))
 }
 
+// Age returns how old the configuration in force may be: the time, also that for which the machine was
+// suspended, since a read was sent after which all records were applied. It is negative if that is not known.
+func (fed *Feed) Age() time.Duration {
+	fed.mu.Lock()
+	defer fed.mu.Unlock()
+	if fed.provenAt == 0 || fed.isUnreadable {
+		return -1
+	}
+	return fed.cfg.SinceBoot() - fed.provenAt
+}
+
 // CatchUp returns once all records that were stored when it was called have been applied. One read
 // serves all calls that wait for it.
 func (fed *Feed) CatchUp(ctx context.Context, now time.Time) error {
@@ -127,7 +150,7 @@
 	fed.mu.Lock()
 	from := fed.cursor
 	fed.mu.Unlock()
-	sent := time.Now()
+	sent, sentSinceBoot := time.Now(), fed.cfg.SinceBoot()
 	page, err := fed.cfg.Read(ctx, from, wait)
 	if err != nil {
 		return false, err
@@ -138,15 +161,18 @@
 		return false, nil
 	}
 	fed.cursor = page.Next
+	if !page.HasMore {
+		fed.provenAt = max(fed.provenAt, sentSinceBoot)
+	}
 	fed.hasGap = fed.hasGap || page.IsSnapshot
 	now := time.Now()
 	for _, rec := range page.Records {
 		fed.cfg.Apply(now, rec, !fed.hasGap)
 		switch {
 		case rec.Err != nil:
-			fed.hasGap = true // it may have been a configuration
+			fed.hasGap, fed.isUnreadable = true, true // it may have been a configuration
 		case rec.Table != nil:
-			fed.hasGap = false
+			fed.hasGap, fed.isUnreadable = false, false
 		}
 	}
 	isEnd = page.Next == from
--- a/internal/fleet/queue/queue.go
+++ b/internal/fleet/queue/queue.go
@@ -7,6 +7,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"daisywheel/internal/fleet/organisation"
 )
 
 // Queue is one queue of jobs.
@@ -20,7 +22,10 @@
 	DeadlineFactor float64       // the deadline allows DeadlineFactor times the longest chain of steps, plus LatencyGoal
 	LatencyGoal    time.Duration // see DeadlineFactor
 	NeedsAdvice    bool          // the advice service must allow a VM before a task starts there
-	Version        int64         // of the configuration that the queue is from; set by NewTable
+	NeedsKey       bool          // callers must send the API key of an organisation
+	// Organisation is that of the caller, in the copy of the queue that one request carries; else empty.
+	Organisation string
+	Version      int64 // of the configuration that the queue is from; set by NewTable
 	// Since is the first version, of those known to this process without a gap, by which the queue has
 	// its pool. Set by NewTable and After.
 	Since int64
@@ -31,7 +36,9 @@
 func (que *Queue) Address() string { return que.Host + que.Prefix }
 
 // Ref returns the reference to the queue for a request to an owner.
-func (que *Queue) Ref() Ref { return Ref{Name: que.Name, Address: que.Address(), Version: que.Version} }
+func (que *Queue) Ref() Ref {
+	return Ref{Name: que.Name, Address: que.Address(), Version: que.Version, Organisation: que.Organisation}
+}
 
 // Ref names a queue in a request to an owner. Entries of earlier versions of the program
 // send only the name, or none.
@@ -39,6 +46,14 @@
 	Name    string
 	Address string
 	Version int64 // of the configuration by which the sender routes; 0 if unknown
+	// Organisation is that of the caller, or the one that submitted a job; empty if unknown, or for a queue that
+	// needs no key.
+	Organisation string
+}
+
+// MayShow reports whether a caller with this reference may see a job with the other one.
+func (ref Ref) MayShow(job Ref) bool {
+	return ref.Organisation == "" || job.Organisation == "" || ref.Organisation == job.Organisation
 }
 
 // IsSame reports whether both refer to the same queue: callers ask for it at the same
@@ -58,6 +73,7 @@
 	version int64
 	queues  []Queue // longest prefix first
 	pools   []Pool
+	orgs    *organisation.Set
 }
 
 // NewTable returns a Table with the queues in the order in which Match tries them.
@@ -71,6 +87,16 @@
 	return tab
 }
 
+// WithOrganisations returns the table with organisations, which must not be changed any more.
+func (tab *Table) WithOrganisations(orgs *organisation.Set) *Table {
+	next := *tab
+	next.orgs = orgs
+	return &next
+}
+
+// Organisations returns the organisations; nil if the configuration has none.
+func (tab *Table) Organisations() *organisation.Set { return tab.orgs }
+
 // After returns the table as the next one after old, with no other between them.
 func (tab *Table) After(old *Table) *Table {
 	if old == nil {
--- a/internal/result/code/code.go
+++ b/internal/result/code/code.go
@@ -31,6 +31,8 @@
 	NotReady          Code = 118
 	KeyOutcomeUnknown Code = 119
 	StaleRoute        Code = 120
+	UnknownKey        Code = 121
+	KeyUnproven       Code = 122
 
 	BadTable      Code = 201
 	BadRow        Code = 202
@@ -102,6 +104,8 @@
 	NotReady:          {"notReady", http.StatusServiceUnavailable, "repeat at another entry; this one has not read the log yet"},
 	KeyOutcomeUnknown: {"keyOutcomeUnknown", http.StatusConflict, "find out whether the first request with this key ran"},
 	StaleRoute:        {"staleRoute", http.StatusServiceUnavailable, "repeat; the queue has just got another pool"},
+	UnknownKey:        {"unknownKey", http.StatusUnauthorized, "send an API key of the configuration in X-Key"},
+	KeyUnproven:       {"keyUnproven", http.StatusServiceUnavailable, "repeat; this entry can't tell now whether the API key is still valid"},
 	BadTable:          {"badTable", http.StatusBadRequest, "correct the table as the detail says"},
 	BadRow:            {"badRow", http.StatusBadRequest, "correct the row as the detail says"},
 	StaleRevision:     {"staleRevision", http.StatusConflict, "read the row again and repeat the edit on its present revision"},
--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -145,12 +145,14 @@
 
 // request holds the parameters of all methods.
 type request struct {
-	Pool    string          `json:"service"`
-	Queue   string          `json:"queue,omitempty"`
-	Address string          `json:"address,omitempty"` // of the queue
-	Version int64           `json:"version,omitempty"` // of the configuration by which the sender routes
-	ID      string          `json:"id,omitempty"`
-	Job     json.RawMessage `json:"job,omitempty"`
+	Pool    string `json:"service"`
+	Queue   string `json:"queue,omitempty"`
+	Address string `json:"address,omitempty"` // of the queue
+	Version int64  `json:"version,omitempty"` // of the configuration by which the sender routes
+	// Organisation is that of the caller.
+	Organisation string          `json:"organisation,omitempty"`
+	ID           string          `json:"id,omitempty"`
+	Job          json.RawMessage `json:"job,omitempty"`
 	// Handover is the record of a job that another pool hands over.
 	Handover json.RawMessage `json:"handover,omitempty"`
 	// MinVersion is the version of the configuration that the owner must have read to
@@ -166,11 +168,11 @@
 // newRequest returns a request about the queue to the pool, which may be a former one of
 // the queue.
 func newRequest(pool string, que queue.Queue, id string) request {
-	return request{Pool: pool, Queue: que.Name, Address: que.Address(), Version: que.Version, ID: id, Reroutes: true}
+	return request{Pool: pool, Queue: que.Name, Address: que.Address(), Version: que.Version, Organisation: que.Organisation, ID: id, Reroutes: true}
 }
 
 func (req *request) queue() queue.Ref {
-	return queue.Ref{Name: req.Queue, Address: req.Address, Version: req.Version}
+	return queue.Ref{Name: req.Queue, Address: req.Address, Version: req.Version, Organisation: req.Organisation}
 }
 
 // reply is the result of all methods.
@@ -184,7 +186,7 @@
 // has it. After a fault with code OutcomeUnknown the job may be stored; after any other error
 // it is not.
 func (gtw *Gateway) Submit(ctx context.Context, now time.Time, que queue.Queue, pln *plan.Plan) error {
-	job, err := jobrecord.EncodeJob(jobrecord.Job{Plan: pln, Queue: que.Name, Address: que.Address(), FirstAttempt: now})
+	job, err := jobrecord.EncodeJob(jobrecord.Job{Plan: pln, Queue: que.Name, Address: que.Address(), Organisation: que.Organisation, FirstAttempt: now})
 	if err != nil {
 		return fault.Wrap(err, code.BadShape, "job cannot be stored")
 	}
@@ -284,6 +286,9 @@
 	tab := gtw.table
 	gtw.mu.Unlock()
 	return func(ref queue.Ref) bool {
+		if !present.MayShow(ref) {
+			return false
+		}
 		if present.IsSame(ref) || tab == nil {
 			return true
 		}
--- a/internal/schedule/gateway/route.go
+++ b/internal/schedule/gateway/route.go
@@ -59,7 +59,9 @@
 	if tab == nil {
 		return queue.Queue{}, false
 	}
-	return tab.At(que.Address())
+	next, ok := tab.At(que.Address())
+	next.Organisation = que.Organisation
+	return next, ok
 }
 
 // isAcceptedBefore reports whether a former pool of the queue has the job, whose submission
--- a/internal/schedule/jobrecord/jobrecord.go
+++ b/internal/schedule/jobrecord/jobrecord.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"daisywheel/internal/fleet/host"
+	"daisywheel/internal/fleet/queue"
 	"daisywheel/internal/job/numberset"
 	"daisywheel/internal/job/plan"
 )
@@ -46,6 +47,13 @@
 	MaxAttempts int
 	// From is the pool that handed the job over; empty for none.
 	From string
+	// Organisation is the one that submitted it; empty for a queue that needs no key.
+	Organisation string
+}
+
+// Ref returns the reference to the job's queue and organisation.
+func (jb *Job) Ref() queue.Ref {
+	return queue.Ref{Name: jb.Queue, Address: jb.Address, Organisation: jb.Organisation}
 }
 
 // Failure lists the failed runs of a task by number, so that an end that a VM
@@ -62,7 +70,9 @@
 	// Address is that of the queue, stored in a final state only, as the record of the
 	// submission has it before.
 	Address string
-	Ended   time.Time // by the owner's wall clock; only meaningful in a final state
+	// Organisation is the one that submitted the job.
+	Organisation string
+	Ended        time.Time // by the owner's wall clock; only meaningful in a final state
 	// Occurrences are those that are done, of a job with this number of Steps.
 	Occurrences numberset.Set
 	Steps       int
@@ -94,6 +104,7 @@
 	Zone         string     `json:"zone,omitempty"`
 	MaxAttempts  int        `json:"maxAttempts,omitempty"`
 	From         string     `json:"from,omitempty"`
+	Organisation string     `json:"organisation,omitempty"`
 }
 
 type stepJSON struct {
@@ -123,7 +134,7 @@
 	jsn := jobJSON{
 		ID: pln.ID, Queue: jb.Queue, Address: jb.Address, FirstAttempt: jb.FirstAttempt.UnixMilli(), Spec: pln.Spec,
 		Times: pln.RepeatCount, Interval: pln.Interval.Milliseconds(), Zone: jb.Zone,
-		MaxAttempts: jb.MaxAttempts, From: jb.From,
+		MaxAttempts: jb.MaxAttempts, From: jb.From, Organisation: jb.Organisation,
 	}
 	if pln.IsRepeating() {
 		jsn.FirstAt = pln.FirstAt.UnixMilli()
@@ -162,7 +173,7 @@
 	}
 	return Job{
 		Plan: pln, Queue: jsn.Queue, Address: jsn.Address, FirstAttempt: time.UnixMilli(jsn.FirstAttempt), Zone: jsn.Zone,
-		MaxAttempts: max(0, jsn.MaxAttempts), From: jsn.From,
+		MaxAttempts: max(0, jsn.MaxAttempts), From: jsn.From, Organisation: jsn.Organisation,
 	}, nil
 }
 
@@ -207,14 +218,15 @@
 }
 
 type progressJSON struct {
-	State      State    `json:"state"`
-	Queue      string   `json:"queue,omitempty"`
-	Address    string   `json:"address,omitempty"`
-	Ended      int64    `json:"endedMs,omitempty"`
-	Spans      [][2]int `json:"spans,omitempty"`    // occurrences that are done: first, last
-	Done       [][]int  `json:"done,omitempty"`     // rows: occurrence, step, task indexes...; no indexes: all tasks
-	Failures   [][]int  `json:"failures,omitempty"` // rows: occurrence, step, task index, runs...
-	ExtraZones []string `json:"zones,omitempty"`
+	State        State    `json:"state"`
+	Queue        string   `json:"queue,omitempty"`
+	Address      string   `json:"address,omitempty"`
+	Organisation string   `json:"organisation,omitempty"`
+	Ended        int64    `json:"endedMs,omitempty"`
+	Spans        [][2]int `json:"spans,omitempty"`    // occurrences that are done: first, last
+	Done         [][]int  `json:"done,omitempty"`     // rows: occurrence, step, task indexes...; no indexes: all tasks
+	Failures     [][]int  `json:"failures,omitempty"` // rows: occurrence, step, task index, runs...
+	ExtraZones   []string `json:"zones,omitempty"`
 }
 
 // maxRows is the number of rows for steps of done occurrences up to which they are stored as
@@ -228,7 +240,7 @@
 
 // EncodeProgress returns the JSON record of a job's progress.
 func EncodeProgress(prg Progress) ([]byte, error) {
-	jsn := progressJSON{State: prg.State, Queue: prg.Queue, ExtraZones: prg.ExtraZones}
+	jsn := progressJSON{State: prg.State, Queue: prg.Queue, Organisation: prg.Organisation, ExtraZones: prg.ExtraZones}
 	if prg.State.IsEnded() {
 		jsn.Ended, jsn.Address = prg.Ended.UnixMilli(), prg.Address
 	}
@@ -266,7 +278,7 @@
 	if jsn.State < Queued || jsn.State > Cancelled {
 		return Progress{}, errors.Newf("progress record has the state %d", jsn.State)
 	}
-	prg := Progress{State: jsn.State, Queue: jsn.Queue, Address: jsn.Address, Ended: time.UnixMilli(jsn.Ended), ExtraZones: jsn.ExtraZones}
+	prg := Progress{State: jsn.State, Queue: jsn.Queue, Address: jsn.Address, Organisation: jsn.Organisation, Ended: time.UnixMilli(jsn.Ended), ExtraZones: jsn.ExtraZones}
 	for _, spn := range jsn.Spans {
 		if spn[0] < 0 || spn[1] < spn[0] || spn[1] >= plan.MaxOccurrences {
 			return Progress{}, errors.Newf("progress record has the occurrences %d to %d", spn[0], spn[1])
--- a/internal/schedule/owner/count.go
+++ b/internal/schedule/owner/count.go
@@ -75,7 +75,7 @@
 	count := own.sch.CountQueued(ref)
 	for _, hnd := range own.handovers {
 		job := &hnd.record.Job
-		if !hnd.isAdopted && hnd.record.Progress.State == jobrecord.Queued && !job.Plan.IsRepeating() && ref.IsSame(queue.Ref{Name: job.Queue, Address: job.Address}) {
+		if !hnd.isAdopted && hnd.record.Progress.State == jobrecord.Queued && !job.Plan.IsRepeating() && ref.IsSame(job.Ref()) {
 			count++
 		}
 	}
--- a/internal/schedule/owner/handover.go
+++ b/internal/schedule/owner/handover.go
@@ -62,7 +62,7 @@
 	own.mu.Lock()
 	for _, id := range bat.handovers {
 		rec := &own.handovers[id].record
-		ref := queue.Ref{Name: rec.Job.Queue, Address: rec.Job.Address}
+		ref := rec.Job.Ref()
 		if ref.Address == "" { // an entry of an earlier version has stored it
 			ref.Address = own.addressOf(ref.Name)
 		}
@@ -207,7 +207,7 @@
 		return 0, false, err
 	}
 	hnd, err := jobrecord.DecodeHandover(rec.Value)
-	if err != nil || !isOfQueue(queue.Ref{Name: hnd.Job.Queue, Address: hnd.Job.Address}) {
+	if err != nil || !isOfQueue(hnd.Job.Ref()) {
 		return 0, false, err
 	}
 	return hnd.Progress.State, true, nil
--- a/internal/schedule/owner/lookup.go
+++ b/internal/schedule/owner/lookup.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return 0, false, err
 	}
-	ref := queue.Ref{Name: prg.Queue, Address: prg.Address}
+	ref := queue.Ref{Name: prg.Queue, Address: prg.Address, Organisation: prg.Organisation}
 	if rdr.isShown(ref) {
 		return prg.State, true, nil
 	}
@@ -73,5 +73,5 @@
 		return queue.Ref{}, false, err
 	}
 	jb, err := jobrecord.DecodeJob(rec.Value)
-	return queue.Ref{Name: jb.Queue, Address: jb.Address}, err == nil, err
+	return jb.Ref(), err == nil, err
 }
--- a/internal/schedule/owner/requests.go
+++ b/internal/schedule/owner/requests.go
@@ -36,13 +36,18 @@
 			own.mu.Unlock()
 			return newStaleRoute(que)
 		}
+		if own.lacksOrganisation(que) {
+			own.mu.Unlock()
+			// A code that earlier versions know and answer with 503.
+			return fault.New(code.QueueFull, "the queue %s needs an API key, which the sender has not checked", que.Name)
+		}
 		if own.isRetrying && now.Sub(own.stalledSince) > stallLimit {
 			wait := own.refusals.Add(now, pln)
 			own.mu.Unlock()
 			return fault.NewRetryAfter(wait, code.LogUnavailable, "nothing can be stored since %s", now.Sub(own.stalledSince).Round(time.Millisecond))
 		}
 		sub = &submission{resolved: make(chan struct{}), job: jobrecord.Job{
-			Plan: pln, Queue: que.Name, Address: que.Address, FirstAttempt: own.refusals.Accept(now, pln.ID), MaxAttempts: own.maxAttemptsOf(que),
+			Plan: pln, Queue: que.Name, Address: que.Address, Organisation: que.Organisation, FirstAttempt: own.refusals.Accept(now, pln.ID), MaxAttempts: own.maxAttemptsOf(que),
 		}}
 		own.enqueue(sub)
 	}
@@ -125,16 +130,30 @@
 	return fault.New(code.StaleRoute, "the queue %s has been rerouted by a later version than %d", ref.Name, ref.Version)
 }
 
-// isOfOtherQueue reports whether the job was submitted to another queue. Jobs of a queue that
+// lacksOrganisation reports whether the queue needs a key by a configuration that the sender may have read
+// too, but the sender names no organisation: it runs an earlier version of the program, which checks no keys.
+// The caller holds the lock.
+func (own *Owner) lacksOrganisation(ref queue.Ref) bool {
+	if own.table == nil || ref.Organisation != "" {
+		return false
+	}
+	que, ok := own.table.Find(ref)
+	return ok && que.NeedsKey
+}
+
+// isOfOtherQueue reports whether the job was submitted to another queue, or by another organisation. Jobs of a queue that
 // is no longer configured belong to all queues, as it may have a new name, and entries of
 // earlier versions ask without a queue. The caller holds the lock.
 func (own *Owner) isOfOtherQueue(id string, ref queue.Ref) bool {
 	jobRef, ok := own.sch.Queue(id)
 	if hnd, isLeaving := own.handovers[id]; isLeaving {
-		jobRef, ok = queue.Ref{Name: hnd.record.Job.Queue, Address: hnd.record.Job.Address}, true
+		jobRef, ok = hnd.record.Job.Ref(), true
 	}
 	if sub, isPending := own.pending[id]; isPending {
-		jobRef, ok = queue.Ref{Name: sub.job.Queue, Address: sub.job.Address}, true
+		jobRef, ok = sub.job.Ref(), true
+	}
+	if ok && !ref.MayShow(jobRef) {
+		return true
 	}
 	if !ok || jobRef.IsSame(ref) || ref.Name == "" || own.table == nil {
 		return false
--- a/internal/schedule/poolscheduler/poolscheduler.go
+++ b/internal/schedule/poolscheduler/poolscheduler.go
@@ -164,7 +164,7 @@
 // newJobState returns the state of a job whose caller has been waiting since the time.
 func (sch *Scheduler) newJobState(since time.Time, jb jobrecord.Job) *jobState {
 	return &jobState{
-		plan: jb.Plan, queue: queue.Ref{Name: jb.Queue, Address: jb.Address}, waitingSince: since, homeZone: jb.Zone,
+		plan: jb.Plan, queue: jb.Ref(), waitingSince: since, homeZone: jb.Zone,
 		maxAttempts: jb.MaxAttempts, from: jb.From,
 		occurrences: make([]*occurrence, jb.Plan.Occurrences()),
 	}
--- a/internal/schedule/poolscheduler/record.go
+++ b/internal/schedule/poolscheduler/record.go
@@ -136,12 +136,12 @@
 func submissionOf(jst *jobState) jobrecord.Job {
 	return jobrecord.Job{
 		Plan: jst.plan, Queue: jst.queue.Name, Address: jst.queue.Address, FirstAttempt: jst.waitingSince, Zone: jst.homeZone, MaxAttempts: jst.maxAttempts,
-		From: jst.from,
+		From: jst.from, Organisation: jst.queue.Organisation,
 	}
 }
 
 func progressOf(jst *jobState) jobrecord.Progress {
-	prg := jobrecord.Progress{State: jst.state, Queue: jst.queue.Name, Address: jst.queue.Address, Ended: jst.endedAt}
+	prg := jobrecord.Progress{State: jst.state, Queue: jst.queue.Name, Address: jst.queue.Address, Organisation: jst.queue.Organisation, Ended: jst.endedAt}
 	if jst.state.IsEnded() {
 		return prg
 	}
@@ -191,7 +191,7 @@
 		return
 	}
 	if prg.State.IsEnded() {
-		jst := &jobState{plan: placeholderPlan(id), queue: queue.Ref{Name: prg.Queue, Address: prg.Address}, state: prg.State, storedState: prg.State, endedAt: now}
+		jst := &jobState{plan: placeholderPlan(id), queue: queue.Ref{Name: prg.Queue, Address: prg.Address, Organisation: prg.Organisation}, state: prg.State, storedState: prg.State, endedAt: now}
 		sch.jobs[id] = jst
 		sch.endedJobs = append(sch.endedJobs, id)
 		if jb != nil {
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -14,6 +14,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"daisywheel/internal/caller/admission"
 	"daisywheel/internal/event/journal"
 	"daisywheel/internal/fleet/agent"
 	"daisywheel/internal/fleet/directory"
@@ -69,6 +70,7 @@
 	MilliCores      int // CPU that the entry may use
 	MaxLease        time.Duration
 	OrderLease      time.Duration
+	MaxKeyAge       time.Duration // how long an API key may be used after its revocation, see admission.GateConfig
 	MinTTL          time.Duration // shortest membership TTL that the log accepts
 	OrderRate       float64       // orders for machines per second, of the whole fleet
 	StatusRetention time.Duration
@@ -85,6 +87,7 @@
 	cfg          Config
 	link         *rpc.Endpoint
 	gateway      *gateway.Gateway
+	gate         *admission.Gate
 	feed         *operatorfeed.Feed
 	poolIndex    *poolindex.Index
 	table        atomic.Pointer[queue.Table]
@@ -129,6 +132,9 @@
 		Address: cfg.PeerAddress, Partitions: cfg.Partitions, PeerEndpoint: svc.link, StateLog: cfg.StateLog, PoolIndex: svc.poolIndex,
 		Journal: cfg.Journal, LocalOwner: svc.Owner, IsConfirmed: svc.isMembershipConfirmed, CatchUp: svc.feed.CatchUp,
 	})
+	svc.gate = admission.NewGate(admission.GateConfig{
+		Table: svc.Table, Age: svc.feed.Age, CatchUp: svc.feed.CatchUp, MaxKeyAge: cfg.MaxKeyAge, Metrics: cfg.Metrics,
+	})
 	if err := svc.link.Listen(cfg.PeerAddress); err != nil {
 		return nil, err
 	}
@@ -155,6 +161,9 @@
 // Gateway returns the gateway that forwards callers' requests to the pools' owners.
 func (svc *Service) Gateway() *gateway.Gateway { return svc.gateway }
 
+// Gate returns the gate that finds the queues of callers' requests and checks their keys.
+func (svc *Service) Gate() *admission.Gate { return svc.gate }
+
 // Table returns the configuration in force, or nil before the first one was read.
 func (svc *Service) Table() *queue.Table { return svc.table.Load() }
 
