Keep what organisations run within their limits over all pools, and share full pools by weight

Cause: configurations limit what an organisation may have running over all pools; owners of pools did not know of limits, and no one knew the sum. Change: the fleet controller grants owners allowances, in replies to reports of what they hold, use and want (docs/design/caps.md); owners start nothing beyond. A new owner counts what may run on VMs that have not reported; a new controller grants nothing until it knows all that may be held. Work beyond an organisation's part of a full pool waits for that of others (docs/design/shares.md).

--- a/internal/fleet/organisation/organisation.go
+++ b/internal/fleet/organisation/organisation.go
@@ -5,7 +5,6 @@
 import (
 	"crypto/sha256"
 	"slices"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -97,12 +96,7 @@
 	return set.list
 }
 
-// Names returns the names in alphabetical order.
-func (set *Set) Names() []string {
-	var names []string
-	for _, org := range set.All() {
-		names = append(names, org.Name)
-	}
-	slices.SortFunc(names, strings.Compare)
-	return names
+// HasCaps reports whether any organisation has a limit.
+func (set *Set) HasCaps() bool {
+	return slices.ContainsFunc(set.All(), func(org Organisation) bool { return org.HasCap() })
 }
--- a/internal/job/plan/plan.go
+++ b/internal/job/plan/plan.go
@@ -40,6 +40,11 @@
 	return Demand{dmd.MilliCores - other.MilliCores, dmd.MemoryMB - other.MemoryMB, dmd.GPUs - other.GPUs}
 }
 
+// Times returns the demand of so many tasks.
+func (dmd Demand) Times(tasks int64) Demand {
+	return Demand{dmd.MilliCores * tasks, dmd.MemoryMB * tasks, dmd.GPUs * tasks}
+}
+
 // Step is a set of identical tasks.
 type Step struct {
 	Count           int
--- a/internal/schedule/claim/claim.go
+++ b/internal/schedule/claim/claim.go
@@ -108,6 +108,21 @@
 	return newest.Address, nil
 }
 
+// Tokens returns the fencing tokens of the newest claims by name.
+func Tokens(ctx context.Context, log statelog.Client) (map[string]int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout/2)
+	defer cancel()
+	recs, _, err := log.Newest(ctx, topic, 0)
+	if err != nil {
+		return nil, err
+	}
+	tokens := make(map[string]int64, len(recs))
+	for _, rec := range recs {
+		tokens[rec.Key] = rec.Offset + 1
+	}
+	return tokens, nil
+}
+
 // IsNewest reports whether the claim with this fencing token is still the newest of name.
 func IsNewest(ctx context.Context, log statelog.Client, name string, token int64) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout/2)
--- a/internal/schedule/fleetcontroller/fleetcontroller.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller.go
@@ -18,6 +18,7 @@
 	"daisywheel/internal/fleet/directory"
 	"daisywheel/internal/fleet/maintenance"
 	"daisywheel/internal/fleet/queue"
+	"daisywheel/internal/fleet/quota"
 	"daisywheel/internal/kernel/boottime"
 	"daisywheel/internal/kernel/loop"
 	"daisywheel/internal/schedule/claim"
@@ -129,6 +130,8 @@
 	// unrecorded is maintenance that is done but not yet stored as done.
 	unrecorded     []*operation
 	roundRequested chan struct{}
+	quotas         quotas
+	quotaCheck     *loop.Loop
 	orderLimit     orderLimit
 	loop           *loop.Loop
 	claimCheck     *loop.Loop
@@ -154,11 +157,12 @@
 	if err != nil {
 		return nil, err
 	}
+	claimedAt := cfg.SinceBoot()
 	ctl := &Controller{
 		cfg: cfg, clm: clm, takeoverAt: now, reports: map[string]report{}, arrivals: arrivals.New(), machines: map[string]directory.Machine{},
 		operations: map[string]*operation{}, waves: map[int64]*wave{}, lost: make(chan struct{}),
 		recentOrders: map[string]time.Time{}, blockedUntil: map[string]time.Time{},
-		roundRequested: make(chan struct{}, 1),
+		roundRequested: make(chan struct{}, 1), quotas: quotas{ledger: quota.NewLedger(), openedAt: claimedAt},
 	}
 	if err := ctl.appendRecords(ctx, nil); err != nil {
 		return nil, err
@@ -170,6 +174,7 @@
 	cfg.Journal.Event(now, "stewardStarted", slog.Int64("fence", clm.FencingToken()), slog.Int("term", clm.Term()))
 	ctl.loop = loop.EveryOrWoken("steward", roundInterval, minRoundPause, ctl.roundRequested, ctl.step)
 	ctl.claimCheck = loop.Every("stewardClaim", claimCheckInterval, ctl.checkClaim)
+	ctl.quotaCheck = loop.Every("stewardQuotas", quotaCheckInterval, ctl.checkQuotas)
 	return ctl, nil
 }
 
@@ -178,7 +183,7 @@
 
 // Close stops the controller and ends its term.
 func (ctl *Controller) Close() {
-	loop.StopAll(ctl.loop, ctl.claimCheck)
+	loop.StopAll(ctl.loop, ctl.claimCheck, ctl.quotaCheck)
 	ctl.cfg.Journal.Event(time.Now(), "stewardStopped", slog.Int64("fence", ctl.clm.FencingToken()))
 }
 
--- a/internal/schedule/fleetcontroller/moves.go
+++ b/internal/schedule/fleetcontroller/moves.go
@@ -91,6 +91,7 @@
 		return
 	}
 	ctl.poolsLoggedAt = now
+	ctl.logQuotas(now)
 	for _, pol := range pools {
 		usable, tasks := 0, 0
 		for _, vm := range pol.VMs {
--- a/internal/schedule/owner/loops.go
+++ b/internal/schedule/owner/loops.go
@@ -58,10 +58,14 @@
 			own.requestFlush()
 		}
 		isReportDue := own.sch.IsReportDue(now)
+		_, isQuotaDue := own.sch.HasCappedWork()
 		own.mu.Unlock()
 		if isReportDue {
 			own.cfg.RequestReport()
 		}
+		if isQuotaDue && own.cfg.RequestQuotaReport != nil {
+			own.cfg.RequestQuotaReport()
+		}
 		wait = max(planDelay, planIdleFactor*time.Since(now))
 		for _, ord := range orders {
 			go own.sendOrder(ord)
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -66,6 +66,8 @@
 	HandOver func(ctx context.Context, hnd jobrecord.Handover) error
 	// RequestReport asks for a report on the pool before its regular time.
 	RequestReport func()
+	// RequestQuotaReport asks for a quota report before its regular time; nil where no organisation has a limit.
+	RequestQuotaReport func()
 	// SinceBoot is a clock that also counts the time for which the machine was suspended; nil
 	// stands for boottime.Now.
 	SinceBoot func() time.Duration
@@ -323,6 +325,9 @@
 	}
 }
 
+// Pool returns the name of the pool.
+func (own *Owner) Pool() string { return own.cfg.Pool }
+
 // FencingToken returns the fencing token of this term.
 func (own *Owner) FencingToken() int64 { return own.fencingToken }
 
--- a/internal/schedule/poolscheduler/place.go
+++ b/internal/schedule/poolscheduler/place.go
@@ -17,6 +17,8 @@
 	sch.planEvacuations(now)
 	orders := sch.planStops(now, nil)
 	sch.checkReconciled(now)
+	sch.updateUnknownUsage()
+	clear(sch.cappedOrgs)
 	unp := unplaceable{}
 	steps := sch.waitingSteps(now)
 	sch.updateZoneLoads(steps)
@@ -25,6 +27,7 @@
 			orders = sch.placeStep(now, sst, unp, orders)
 		}
 	}
+	sch.updateCappedWork(steps)
 	return sch.planPaces(orders)
 }
 
@@ -98,9 +101,14 @@
 		if sst.waitingCount == 0 || !sch.isReconciled(sst.job) {
 			continue
 		}
+		sst.isCapped = false
 		list = append(list, rankedStep{key: rank.KeyOf(now, sch.rankCandidate(sst)), step: sst})
 	}
-	slices.SortFunc(list, func(one, two rankedStep) int { return rank.Compare(one.key, two.key) })
+	byKey := func(one, two rankedStep) int { return rank.Compare(one.key, two.key) }
+	slices.SortFunc(list, byKey)
+	if sch.orderByShare(list) {
+		slices.SortStableFunc(list, byKey)
+	}
 	steps := make([]*stepState, len(list))
 	for i := range list {
 		steps[i] = list[i].step
@@ -109,7 +117,7 @@
 }
 
 func (sch *Scheduler) placeStep(now time.Time, sst *stepState, unp unplaceable, orders []Order) []Order {
-	sst.isStarved = false
+	sst.isStarved, sst.isCapped = false, false
 	if sst.plan.IsGang {
 		return sch.placeGang(now, sst, orders)
 	}
@@ -118,6 +126,9 @@
 		if tst.phase != waiting || tst.unwantedRunCount > 0 || now.Before(tst.pausedUntil) {
 			continue
 		}
+		if !sch.isAllowed(sst, 1) {
+			break
+		}
 		vst := sch.chooseVM(sst, tst)
 		if vst == nil {
 			sch.handleNoCapacity(sst, tst, unp)
@@ -140,6 +151,9 @@
 		}
 		run = max(run, sst.tasks[i].run)
 	}
+	if !sch.isAllowed(sst, len(sst.tasks)) {
+		return orders
+	}
 	picks := sch.reserveGang(sst)
 	if picks == nil {
 		return orders
--- a/internal/schedule/poolscheduler/pool.go
+++ b/internal/schedule/poolscheduler/pool.go
@@ -27,12 +27,14 @@
 		pol.VMs = append(pol.VMs, vm)
 	}
 	missingVMs := int64(0) // one for each waiting task
+	limited := map[string]orgDemand{}
 	for sst := range sch.openSteps {
-		sch.addDemand(now, &pol, sst, len(sst.tasks)-sst.doneCount)
+		sch.addDemand(now, &pol, limited, sst, len(sst.tasks)-sst.doneCount)
 		if sst.isStarved && sst.plan.IsLongRunning {
 			missingVMs += int64(sst.waitingCount)
 		}
 	}
+	sch.addOrgDemands(&pol, limited)
 	if len(pol.VMs) > 0 {
 		pol.LongRunningDeficit = missingVMs * pol.VMs[0].MilliCores
 	}
@@ -79,13 +81,27 @@
 		len(vms) > 0 && trg.work-sch.reported.work >= vms[0].host.Capacity.MilliCores
 }
 
-func (sch *Scheduler) addDemand(now time.Time, pol *balance.Pool, sst *stepState, tasks int) {
-	need := int64(tasks) * countedDemand(sst.plan).MilliCores
-	if rank.BandOf(now, sch.rankCandidate(sst)) < rank.Late {
-		pol.Demand += need
+// addDemand adds the demand of so many tasks of the step to that of the pool, or to what its organisation wants
+// if that has a limit.
+func (sch *Scheduler) addDemand(now time.Time, pol *balance.Pool, limited map[string]orgDemand, sst *stepState, tasks int) {
+	need := countedDemand(sst.plan).Times(int64(tasks))
+	isInTime := rank.BandOf(now, sch.rankCandidate(sst)) < rank.Late
+	org := sst.job.queue.Organisation
+	if _, hasCap := sch.book.Cap(org); hasCap {
+		sum := limited[org]
+		if isInTime {
+			sum.need = sum.need.Plus(need)
+		} else {
+			sum.late = sum.late.Plus(need)
+		}
+		limited[org] = sum
+		return
+	}
+	if isInTime {
+		pol.Demand += need.MilliCores
 		return
 	}
-	pol.LateDemand += need
+	pol.LateDemand += need.MilliCores
 }
 
 // SetEvacuating sets the VMs that are to be evacuated. They get no new tasks, and their
--- a/internal/schedule/poolscheduler/poolscheduler.go
+++ b/internal/schedule/poolscheduler/poolscheduler.go
@@ -15,6 +15,7 @@
 	"daisywheel/internal/fleet/queue"
 	"daisywheel/internal/job/plan"
 	"daisywheel/internal/job/task"
+	"daisywheel/internal/schedule/allowance"
 	"daisywheel/internal/schedule/estimate"
 	"daisywheel/internal/schedule/jobrecord"
 )
@@ -87,6 +88,12 @@
 	endedIncarnations map[string]int64           // by VM: the ended incarnation that may still be listed
 	evacuating        map[string]bool            // by id: the VMs that are to be evacuated
 	revision          int64                      // the highest one of a VM, see balance.VM
+	book              *allowance.Book
+	orgUsed           map[string]*plan.Demand // by organisation: what its runs use that this owner knows of
+	orgUnknown        map[string]plan.Demand  // by organisation: see updateUnknownUsage
+	cappedOrgs        map[string]bool         // those that the current call of Plan found without allowance for a step
+	cappedMilliCores  int64                   // of tasks that wait for an allowance, as of the last call of Plan
+	reportedCapped    int64                   // the same as of the last quota report
 	// confirmedAt is the latest time at which this owner was known to own the pool.
 	confirmedAt   time.Time
 	scratch       [2 * plan.MaxSteps]time.Duration // of expectedTimes
@@ -106,6 +113,7 @@
 		openSteps: map[*stepState]bool{}, stoppingTasks: map[*taskState]bool{}, unconfirmedTasks: map[*taskState]time.Time{},
 		zoneLoads: map[string]zoneLoad{}, unreconciledZones: map[string]bool{}, runtimeModels: map[string]*estimate.Model{},
 		unreadableJobs: map[string]bool{}, dirtyJobs: map[string]bool{},
+		book: allowance.NewBook(), orgUsed: map[string]*plan.Demand{}, orgUnknown: map[string]plan.Demand{}, cappedOrgs: map[string]bool{},
 		vmRecordsToWrite: map[string]bool{}, vmRecordsToDelete: map[string]bool{}, endedIncarnations: map[string]int64{},
 	}
 }
@@ -116,7 +124,12 @@
 }
 
 // SetTable sets the queue configuration in force.
-func (sch *Scheduler) SetTable(tab *queue.Table) { sch.table = tab }
+func (sch *Scheduler) SetTable(tab *queue.Table) {
+	sch.table = tab
+	if tab != nil {
+		sch.book.SetOrganisations(tab.Organisations())
+	}
+}
 
 // Kind is the kind of an Order.
 type Kind int
@@ -165,7 +178,7 @@
 func (sch *Scheduler) newJobState(since time.Time, jb jobrecord.Job) *jobState {
 	return &jobState{
 		plan: jb.Plan, queue: jb.Ref(), waitingSince: since, homeZone: jb.Zone,
-		maxAttempts: jb.MaxAttempts, from: jb.From,
+		maxAttempts: jb.MaxAttempts, from: jb.From, orgUsed: sch.usageOf(jb.Organisation),
 		occurrences: make([]*occurrence, jb.Plan.Occurrences()),
 	}
 }
--- a/internal/schedule/poolscheduler/state.go
+++ b/internal/schedule/poolscheduler/state.go
@@ -67,6 +67,7 @@
 	waitingCount int           // tasks in phase waiting
 	isOpen       bool          // the steps that it depends on are done
 	isStarved    bool          // the last call of Plan found no VM for a waiting task
+	isCapped     bool          // the last call of Plan found no allowance for a waiting task
 	lastStartAt  time.Time     // start of the task that was started last
 	runTime      time.Duration // from lastStartAt until the step was done; 0 while unknown
 }
@@ -103,6 +104,22 @@
 	extraZones      []string // other zones where its tasks may run, as stored
 	requestedZone   string   // zone that is to be stored as an extra one; empty for none
 	isSetApart      bool     // its submission is stored where entries of earlier versions do not look
+	// orgUsed is what its organisation has running in the pool; nil without an organisation.
+	orgUsed *plan.Demand
+}
+
+// addUsage counts a run of a task of the step for the job's organisation.
+func (sst *stepState) addUsage() {
+	if used := sst.job.orgUsed; used != nil {
+		*used = used.Plus(sst.plan.Demand)
+	}
+}
+
+// dropUsage is the inverse of addUsage.
+func (sst *stepState) dropUsage() {
+	if used := sst.job.orgUsed; used != nil {
+		*used = used.Minus(sst.plan.Demand)
+	}
 }
 
 // vmState is the state of one VM. A restart under the same id keeps the vmState and
@@ -175,6 +192,7 @@
 	vst.unwantedRuns[key] = &pendingStop{task: tst}
 	if tst != nil {
 		tst.unwantedRunCount++
+		tst.step.addUsage()
 	}
 }
 
@@ -187,6 +205,7 @@
 	delete(vst.unwantedRuns, key)
 	if pst.task != nil {
 		pst.task.unwantedRunCount--
+		pst.task.step.dropUsage()
 	}
 }
 
@@ -213,6 +232,7 @@
 	vst.tasks[tst.id] = tst
 	vst.tasksPerStep[tst.step]++
 	vst.used = vst.used.Plus(countedDemand(tst.step.plan))
+	tst.step.addUsage()
 	tst.step.job.placedTasks++
 	if tst.step.plan.LatencyGoal > 0 {
 		vst.latencyBoundTasks++
@@ -228,6 +248,7 @@
 		delete(vst.tasksPerStep, tst.step)
 	}
 	vst.used = vst.used.Minus(countedDemand(tst.step.plan))
+	tst.step.dropUsage()
 	tst.step.job.placedTasks--
 	if tst.step.plan.LatencyGoal > 0 {
 		vst.latencyBoundTasks--
--- a/internal/schedule/rank/rank.go
+++ b/internal/schedule/rank/rank.go
@@ -75,6 +75,7 @@
 // Key is the sort key of a candidate.
 type Key struct {
 	band     Band
+	isBeyond bool // see WithShare
 	priority int
 	sortTime time.Time // latest start for Started and NotStarted, else the submission
 }
@@ -88,7 +89,24 @@
 	return key
 }
 
+// WithShare returns the key of a candidate whose organisation has its part of the pool without it, see package share.
+// It then goes after the others of its band, unless its job has started.
+func (key Key) WithShare(isBeyond bool) Key {
+	key.isBeyond = isBeyond && (key.band == NotStarted || key.band == Late)
+	return key
+}
+
 // Compare compares two keys. The lower one goes first.
 func Compare(one, two Key) int {
-	return cmp.Or(cmp.Compare(one.band, two.band), cmp.Compare(one.priority, two.priority), one.sortTime.Compare(two.sortTime))
+	return cmp.Or(cmp.Compare(one.band, two.band), compareBool(one.isBeyond, two.isBeyond), cmp.Compare(one.priority, two.priority), one.sortTime.Compare(two.sortTime))
+}
+
+func compareBool(one, two bool) int {
+	switch {
+	case one == two:
+		return 0
+	case two:
+		return -1
+	}
+	return 1
 }
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -113,8 +113,14 @@
 	controllerAddress string                // "" while unknown
 	controllerTerm    int64                 // highest term of a fleet controller that has answered a report
 	reportRequested   chan struct{}
-	loops             []*loop.Loop
-	stopping          atomic.Bool
+	quotaRequested    chan struct{}
+	quotaRound        int // of the loop that sends quota reports
+	// quotaTerm is the highest term of a fleet controller that has replied to a quota report, and quotaTerms those
+	// of the last replies that were applied, by owner.
+	quotaTerm  int64
+	quotaTerms map[*owner.Owner]int64
+	loops      []*loop.Loop
+	stopping   atomic.Bool
 }
 
 // Start starts the background loops. IsReady reports when callers can be served.
@@ -123,11 +129,13 @@
 		cfg: cfg, link: rpc.New(rpc.Config{}), started: now, hosts: map[string]host.Host{},
 		owners: map[string]*owner.Owner{}, opening: map[string]bool{}, failedAt: map[string]time.Time{}, confirmedAt: now,
 		waves: map[int64]maintenance.Wave{}, evacuations: map[string]evacuation{}, reportRequested: make(chan struct{}, 1),
+		quotaRequested: make(chan struct{}, 1), quotaTerms: map[*owner.Owner]int64{},
 	}
 	svc.feed = operatorfeed.New(operatorfeed.Config{Journal: cfg.Journal, Read: cfg.Directory.OperatorRecords, Apply: svc.applyOperatorRecord})
 	svc.poolIndex = poolindex.New(poolindex.Config{StateLog: cfg.StateLog, Journal: cfg.Journal})
 	svc.link.Handle(methodReport, svc.serveReport)
 	svc.link.Handle(methodOwnership, svc.serveOwnership)
+	svc.link.Handle(methodQuota, svc.serveQuota)
 	svc.gateway = gateway.New(gateway.Config{
 		Address: cfg.PeerAddress, Partitions: cfg.Partitions, PeerEndpoint: svc.link, StateLog: cfg.StateLog, PoolIndex: svc.poolIndex,
 		Journal: cfg.Journal, LocalOwner: svc.Owner, IsConfirmed: svc.isMembershipConfirmed, CatchUp: svc.feed.CatchUp,
@@ -150,6 +158,7 @@
 		loop.Start("hosts", svc.followVMList),
 		loop.Every("reconcile", reconcileInterval, svc.reconcile),
 		loop.EveryOrWoken("report", reportInterval, minReportPause, svc.reportRequested, svc.report),
+		loop.EveryOrWoken("quotas", quotaInterval, minReportPause, svc.quotaRequested, svc.reportQuotas),
 		loop.Every("formerPools", formerPoolsInterval, svc.refreshFormerPools),
 	}
 	return svc, nil
@@ -444,7 +453,7 @@
 	own, err := owner.Open(ctx, time.Now(), owner.Config{
 		Pool: pool, Partition: group.PartitionOf(pool, svc.cfg.Partitions), Address: svc.cfg.PeerAddress, MaxLease: min(svc.cfg.MaxLease, leaseDuration), LongestLease: svc.cfg.MaxLease,
 		StatusRetention: svc.cfg.StatusRetention, MaxRecord: svc.cfg.MaxRecord, StateLog: svc.cfg.StateLog, PoolIndex: svc.poolIndex, Agent: svc.cfg.Agent, Journal: svc.cfg.Journal,
-		Metrics: svc.cfg.Metrics, Table: tab, RequestReport: svc.requestReport, HandOver: svc.gateway.HandOver,
+		Metrics: svc.cfg.Metrics, Table: tab, RequestReport: svc.requestReport, RequestQuotaReport: svc.requestQuotaReport, HandOver: svc.gateway.HandOver,
 	})
 	if err == nil {
 		// From here on another pool may have taken over queues by a configuration that is stored but not
