Read the configuration through other entries when the log turns one away

Cause: keys that are taken away while the log refuses single entries; without a younger proof these turn callers away after the bound, though a neighbour reads the log. Change: a read that does not wait goes through an owner's entry or the fleet controller's; keys travel as digests.

--- a/internal/fleet/organisation/organisation.go
+++ b/internal/fleet/organisation/organisation.go
@@ -4,6 +4,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/hex"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -39,6 +40,42 @@
 // is empty or taken, a key is empty or belongs to another organisation, or a figure is negative. No
 // error contains a key.
 func (set *Set) Add(org Organisation, keys []string) error {
+	digests := make([]digest, len(keys))
+	for i, key := range keys {
+		if key == "" {
+			return errors.Newf("key %d of organisation %.80q is empty", i, org.Name)
+		}
+		digests[i] = sha256.Sum256([]byte(key))
+	}
+	return set.add(org, digests)
+}
+
+// AddDigests is Add for keys of which another entry has kept the digests.
+func (set *Set) AddDigests(org Organisation, texts []string) error {
+	digests := make([]digest, len(texts))
+	for i, text := range texts {
+		data, err := hex.DecodeString(text)
+		if err != nil || len(data) != sha256.Size {
+			return errors.Newf("digest %d of organisation %.80q can't be read", i, org.Name)
+		}
+		digests[i] = digest(data)
+	}
+	return set.add(org, digests)
+}
+
+// Digests returns the digests of the organisation's keys for AddDigests.
+func (set *Set) Digests(name string) []string {
+	var texts []string
+	for dig, index := range set.byKey {
+		if set.list[index].Name == name {
+			texts = append(texts, hex.EncodeToString(dig[:]))
+		}
+	}
+	slices.Sort(texts)
+	return texts
+}
+
+func (set *Set) add(org Organisation, digests []digest) error {
 	dmd := org.Cap
 	switch {
 	case org.Name == "":
@@ -50,15 +87,11 @@
 	case dmd.MilliCores < 0 || dmd.MemoryMB < 0 || dmd.GPUs < 0:
 		return errors.Newf("cap of organisation %.80q is negative", org.Name)
 	}
-	for i, key := range keys {
-		owner, isTaken := set.byKey[sha256.Sum256([]byte(key))]
-		switch {
-		case key == "":
-			return errors.Newf("key %d of organisation %.80q is empty", i, org.Name)
-		case isTaken && owner != len(set.list):
+	for i, dig := range digests {
+		if owner, isTaken := set.byKey[dig]; isTaken && owner != len(set.list) {
 			return errors.Newf("key %d of organisation %.80q belongs to organisation %.80q too", i, org.Name, set.list[owner].Name)
 		}
-		set.byKey[sha256.Sum256([]byte(key))] = len(set.list)
+		set.byKey[dig] = len(set.list)
 	}
 	set.list = append(set.list, org)
 	return nil
--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -8,6 +8,8 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -497,6 +499,13 @@
 	return gtw.ownerAddresses[pool]
 }
 
+// OwnerAddresses returns the addresses of pools' owners that are known here.
+func (gtw *Gateway) OwnerAddresses() []string {
+	gtw.mu.Lock()
+	defer gtw.mu.Unlock()
+	return slices.Collect(maps.Values(gtw.ownerAddresses))
+}
+
 // findsNextOwner looks up the pool's owner after the one at the address could not reach
 // the log, and reports whether there is another.
 func (gtw *Gateway) findsNextOwner(ctx context.Context, pool, address string) bool {
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -117,10 +117,12 @@
 	quotaRound        int // of the loop that sends quota reports
 	// quotaTerm is the highest term of a fleet controller that has replied to a quota report, and quotaTerms those
 	// of the last replies that were applied, by owner.
-	quotaTerm  int64
-	quotaTerms map[*owner.Owner]int64
-	loops      []*loop.Loop
-	stopping   atomic.Bool
+	quotaTerm    int64
+	quotaTerms   map[*owner.Owner]int64
+	relayedReads *metrics.Counter // reads of operator records through other entries
+	relayRound   atomic.Int32
+	loops        []*loop.Loop
+	stopping     atomic.Bool
 }
 
 // Start starts the background loops. IsReady reports when callers can be served.
@@ -131,11 +133,13 @@
 		waves: map[int64]maintenance.Wave{}, evacuations: map[string]evacuation{}, reportRequested: make(chan struct{}, 1),
 		quotaRequested: make(chan struct{}, 1), quotaTerms: map[*owner.Owner]int64{},
 	}
-	svc.feed = operatorfeed.New(operatorfeed.Config{Journal: cfg.Journal, Read: cfg.Directory.OperatorRecords, Apply: svc.applyOperatorRecord})
+	svc.feed = operatorfeed.New(operatorfeed.Config{Journal: cfg.Journal, Read: svc.readOperatorRecords, Apply: svc.applyOperatorRecord})
 	svc.poolIndex = poolindex.New(poolindex.Config{StateLog: cfg.StateLog, Journal: cfg.Journal})
 	svc.link.Handle(methodReport, svc.serveReport)
 	svc.link.Handle(methodOwnership, svc.serveOwnership)
 	svc.link.Handle(methodQuota, svc.serveQuota)
+	svc.link.Handle(methodReadOperator, svc.serveReadOperator)
+	svc.relayedReads = cfg.Metrics.GetOrCreateCounter("daisywheel_relayed_reads_total")
 	svc.gateway = gateway.New(gateway.Config{
 		Address: cfg.PeerAddress, Partitions: cfg.Partitions, PeerEndpoint: svc.link, StateLog: cfg.StateLog, PoolIndex: svc.poolIndex,
 		Journal: cfg.Journal, LocalOwner: svc.Owner, IsConfirmed: svc.isMembershipConfirmed, CatchUp: svc.feed.CatchUp,
--- a/internal/schedule/service/service_test.go
+++ b/internal/schedule/service/service_test.go
@@ -47,6 +47,7 @@
 	addresses []string // peer addresses of the entries
 	table     atomic.Pointer[queue.Table]
 	tables    tableLog
+	refused   atomic.Int32 // entry whose reads of configurations are refused, or noEntry
 	late      atomic.Int32 // entry whose long polls for configurations get no answer, or noEntry
 	off       atomic.Bool  // the VMs of pool are off
 	paged     atomic.Bool  // the list of VMs comes in pages: by the first, vm-0 is not draining, by the last it is
@@ -55,6 +56,9 @@
 	down      atomic.Bool  // the log fails all joins, appends and reads
 }
 
+// maxKeyAge is how long a key may be used after its revocation.
+const maxKeyAge = time.Second
+
 // entryMilliCores is the default CPU of an entry.
 const entryMilliCores = 400
 
@@ -73,6 +77,7 @@
 	ste.store = logstore.New(logstore.Config{})
 	ste.cut.Store(noEntry)
 	ste.late.Store(noEntry)
+	ste.refused.Store(noEntry)
 	ste.putTable(1, passes)
 	for range entries {
 		ste.startEntry(entryMilliCores)
@@ -92,7 +97,7 @@
 	}
 	svc, err := service.Start(time.Now(), service.Config{
 		Name: fmt.Sprintf("entry-%d", len(ste.entries)), PeerAddress: address, Partitions: 16, MilliCores: milliCores,
-		MaxLease: 6 * time.Second, StatusRetention: time.Minute, StateLog: ste.stateLog(len(ste.entries)), Directory: ste.directory(len(ste.entries)), Agent: ste.fleet.Agent(),
+		MaxLease: 6 * time.Second, MaxKeyAge: maxKeyAge, StatusRetention: time.Minute, StateLog: ste.stateLog(len(ste.entries)), Directory: ste.directory(len(ste.entries)), Agent: ste.fleet.Agent(),
 		Journal: journal.New(journal.Config{}), Metrics: metrics.NewSet(),
 	})
 	if err != nil {
@@ -269,6 +274,9 @@
 		},
 		OperatorRecords: func(ctx context.Context, cursor int64, wait time.Duration) (directory.OperatorPage, error) {
 			for limit := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
+				if ste.refused.Load() == int32(entry) {
+					return directory.OperatorPage{}, statelog.ErrNotAppended
+				}
 				if ste.late.Load() == int32(entry) && wait > 0 {
 					<-ctx.Done()
 					return directory.OperatorPage{}, ctx.Err()
