Bound what callers hold at an entry

Cause: a body was read whole, up to 1 MiB whatever the configuration said, with no bound over all callers or connections.

--- a/Makefile
+++ b/Makefile
@@ -12,13 +12,14 @@
 
 test:
 	$(GO) test -timeout 5m -skip '$(SKIP)' $(TEST_FLAGS) ./...
+	$(GO) test -timeout 5m -tags crowd -skip '$(SKIP)' $(TEST_FLAGS) ./test/crowd
 
 race:
 	$(GO) test -race -timeout 5m -skip '$(SKIP)' ./internal/request/... ./internal/state/... ./internal/kernel/... ./internal/event/... ./internal/schedule/... ./test/path ./test/history ./test/handovers
 
 lint:
 	test -z "$$(gofmt -l .)"
-	$(GO) vet ./...
+	$(GO) vet -tags crowd ./...
 	golangci-lint run ./...
 
 fuzz:
--- a/internal/fleet/operatorpage/operatorpage.go
+++ b/internal/fleet/operatorpage/operatorpage.go
@@ -33,6 +33,7 @@
 	Version          int64              `json:"version"`
 	Queues           []queueJSON        `json:"queues"`
 	Pools            []poolJSON         `json:"pools"`
+	MaxBody          int64              `json:"maxBody,omitempty"`
 	HasOrganisations bool               `json:"hasOrganisations,omitempty"`
 	Organisations    []organisationJSON `json:"organisations,omitempty"`
 }
@@ -89,7 +90,7 @@
 		return recordJSON{Wave: &waveJSON{Number: rec.Wave.Number, Machines: rec.Wave.Machines, Within: int64(rec.Wave.Within), Cap: rec.Wave.Cap}}
 	}
 	tab := rec.Table
-	msg := &tableJSON{Version: tab.Version(), HasOrganisations: tab.Organisations() != nil}
+	msg := &tableJSON{Version: tab.Version(), MaxBody: tab.MaxBody(), HasOrganisations: tab.Organisations() != nil}
 	for _, que := range tab.Queues() {
 		msg.Queues = append(msg.Queues, queueJSON{
 			Name: que.Name, Host: que.Host, Prefix: que.Prefix, Pool: que.Pool, Priority: que.Priority, MaxAttempts: que.MaxAttempts,
@@ -146,7 +147,7 @@
 	for _, pol := range msg.Table.Pools {
 		pools = append(pools, queue.Pool{Name: pol.Name, IsStandby: pol.IsStandby})
 	}
-	tab := queue.NewTable(msg.Table.Version, queues, pools)
+	tab := queue.NewTable(msg.Table.Version, queues, pools).WithMaxBody(msg.Table.MaxBody)
 	if !msg.Table.HasOrganisations {
 		return directory.OperatorRecord{Table: tab}, nil
 	}
--- a/internal/fleet/operatorpage/operatorpage_test.go
+++ b/internal/fleet/operatorpage/operatorpage_test.go
@@ -27,7 +27,7 @@
 	}
 	pools := []queue.Pool{{Name: "s"}, {Name: "t", IsStandby: true}}
 	page := directory.OperatorPage{Next: 9, HasMore: true, IsSnapshot: true, Records: []directory.OperatorRecord{
-		{Table: queue.NewTable(7, queues, pools).WithOrganisations(orgs)}, {Table: queue.NewTable(6, queues, pools)},
+		{Table: queue.NewTable(7, queues, pools).WithMaxBody(9000).WithOrganisations(orgs)}, {Table: queue.NewTable(6, queues, pools)},
 		{Wave: &maintenance.Wave{Number: 3, Machines: []string{"m"}, Within: time.Minute, Cap: 2}},
 	}}
 	data, err := operatorpage.Encode(page)
--- a/internal/fleet/queue/queue.go
+++ b/internal/fleet/queue/queue.go
@@ -74,6 +74,7 @@
 	queues  []Queue // longest prefix first
 	pools   []Pool
 	orgs    *organisation.Set
+	maxBody int64
 }
 
 // NewTable returns a Table with the queues in the order in which Match tries them.
@@ -97,6 +98,16 @@
 // Organisations returns the organisations; nil if the configuration has none.
 func (tab *Table) Organisations() *organisation.Set { return tab.orgs }
 
+// WithMaxBody returns the table with the largest body of a caller's request in bytes.
+func (tab *Table) WithMaxBody(bytes int64) *Table {
+	next := *tab
+	next.maxBody = bytes
+	return &next
+}
+
+// MaxBody returns the largest body of a caller's request in bytes, 0 if the configuration has no limit.
+func (tab *Table) MaxBody() int64 { return tab.maxBody }
+
 // After returns the table as the next one after old, with no other between them.
 func (tab *Table) After(old *Table) *Table {
 	if old == nil {
--- a/internal/job/plan/plan.go
+++ b/internal/job/plan/plan.go
@@ -15,7 +15,9 @@
 	MaxSteps       = 64
 	MaxTasks       = 4096
 	MaxOccurrences = 10000
-	idLen          = 16
+	// MaxTextBytes bounds an image, label or rack. Labels of VMs are shorter, so a longer one names nothing.
+	MaxTextBytes = 255
+	idLen        = 16
 )
 
 // Demand is what one task needs of a VM. It also expresses the capacity of a VM.
@@ -164,6 +166,10 @@
 		return fault.New(code.BadShape, "step %d has %d tasks, must be 1 to %d", index, stp.Count, MaxTasks)
 	case dmd.MilliCores < 0 || dmd.MemoryMB < 0 || dmd.GPUs < 0 || stp.Estimate < 0 || stp.MaxPerVM < 0 || stp.MaxUnavailable < 0:
 		return fault.New(code.BadShape, "step %d has a negative figure", index)
+	case len(stp.Image) > MaxTextBytes || len(stp.Label) > MaxTextBytes || len(stp.Rack) > MaxTextBytes:
+		return fault.New(code.BadShape, "step %d has an image, label or rack of over %d bytes", index, MaxTextBytes)
+	case len(stp.After) > index:
+		return fault.New(code.BadShape, "step %d depends on %d steps, there are %d before it", index, len(stp.After), index)
 	}
 	for _, dep := range stp.After {
 		if dep < 0 || dep >= index {
--- a/internal/result/code/code.go
+++ b/internal/result/code/code.go
@@ -33,6 +33,7 @@
 	StaleRoute        Code = 120
 	UnknownKey        Code = 121
 	KeyUnproven       Code = 122
+	BodyLate          Code = 123
 
 	BadTable      Code = 201
 	BadRow        Code = 202
@@ -106,6 +107,7 @@
 	StaleRoute:        {"staleRoute", http.StatusServiceUnavailable, "repeat; the queue has just got another pool"},
 	UnknownKey:        {"unknownKey", http.StatusUnauthorized, "send an API key of the configuration in X-Key"},
 	KeyUnproven:       {"keyUnproven", http.StatusServiceUnavailable, "repeat; this entry can't tell now whether the API key is still valid"},
+	BodyLate:          {"bodyLate", http.StatusRequestTimeout, "send the whole body within the time limit of the request"},
 	BadTable:          {"badTable", http.StatusBadRequest, "correct the table as the detail says"},
 	BadRow:            {"badRow", http.StatusBadRequest, "correct the row as the detail says"},
 	StaleRevision:     {"staleRevision", http.StatusConflict, "read the row again and repeat the edit on its present revision"},
