Check a configuration before it is sent

Cause: operators learned of queues that never match, pools that don't exist, or keys that end, when callers did. Change: daisywheel config check decodes a file as entries do, and tells errors with their lines, entries that can never match, limits that contradict each other, and what changes against a file or the version in force.

--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -22,7 +22,7 @@
 // commands lists the subcommands in the order in which help prints them.
 func commands() []command {
 	return []command{
-		cmdDemo, cmdEntry, cmdScheduler, cmdStatus, cmdTable, cmdPool, cmdVM, cmdJob, cmdMaintenance, cmdTimeline, cmdExplain, cmdVersion, cmdHelp,
+		cmdDemo, cmdEntry, cmdScheduler, cmdStatus, cmdTable, cmdConfig, cmdPool, cmdVM, cmdJob, cmdMaintenance, cmdTimeline, cmdExplain, cmdVersion, cmdHelp,
 	}
 }
 
@@ -33,7 +33,7 @@
 	if err == nil {
 		return exitOK
 	}
-	if errors.Is(err, errDiffers) {
+	if errors.Is(err, errDiffers) || errors.Is(err, errFindings) {
 		return exitRefused
 	}
 	_, _ = fmt.Fprintf(diag, "daisywheel: %v\n", err)
