--- a/internal/schedule/fleetcontroller/quota_test.go
+++ b/internal/schedule/fleetcontroller/quota_test.go
@@ -331,3 +331,116 @@
 		}
 	})
 }
+
+// quotaSite is a quotaModel with a controller that knows three idle pools and may grant.
+func quotaSite(t *rapid.T) *quotaModel {
+	mdl := &quotaModel{t: t, now: time.Hour, log: logstore.New(logstore.Config{}).Client()}
+	for _, name := range []string{"p0", "p1", "p2"} {
+		mdl.pools = append(mdl.pools, &quotaPool{name: name})
+	}
+	mdl.setCap(10)
+	for _, pol := range mdl.pools {
+		mdl.openOwner(pol)
+	}
+	mdl.openController()
+	mdl.now += 2 * time.Second
+	for range 2 {
+		mdl.controllers[0].checkQuotas(mdl.wallClock())
+		for _, pol := range mdl.pools {
+			mdl.ask(pol.present(), mdl.controllers[0], 0)
+		}
+	}
+	return mdl
+}
+
+// ask sends a report that is answered at once, and starts what the owner may start.
+func (mdl *quotaModel) ask(own *quotaOwner, ctl *Controller, want int64) {
+	mdl.send(own, want)
+	msg := mdl.messages[len(mdl.messages)-1]
+	term, grants := ctl.HandleQuotaReport(mdl.wallClock(), msg.rpt)
+	mdl.receive(quotaReply{msg, term, grants})
+	for range want {
+		mdl.start(own)
+	}
+}
+
+// A new owner asks the former controller, which has not learned that it was replaced.
+func TestFormerControllersGrants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		mdl := quotaSite(t)
+		former := mdl.controllers[0]
+		mdl.openController()
+		present := mdl.controllers[1]
+		round := func() {
+			present.checkQuotas(mdl.wallClock())
+			for _, pol := range mdl.pools {
+				mdl.ask(pol.present(), present, 0)
+			}
+		}
+		round()
+		round()
+		mdl.now += time.Duration(rapid.Int64Range(0, 3000).Draw(t, "ms")) * time.Millisecond
+		if mdl.now > time.Hour+4*time.Second {
+			round() // it has waited for the former one's grants to end
+			round()
+		}
+		mdl.openOwner(mdl.pools[1])
+		mdl.pools[1].present().unreconciled = false // nothing of earlier owners runs
+		mdl.pools[1].stored = 0
+		mdl.ask(mdl.pools[1].present(), former, 10)
+		mdl.ask(mdl.pools[0].present(), present, 10)
+		for range 4 {
+			mdl.now += 500 * time.Millisecond
+			present.checkQuotas(mdl.wallClock())
+			mdl.ask(mdl.pools[0].present(), present, 10)
+			mdl.ask(mdl.pools[2].present(), present, 0)
+			mdl.check()
+		}
+	})
+}
+
+// A report reaches the new controller late, after its owner has been granted more by the former one.
+func TestDelayedReportIsNoAcknowledgement(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		mdl := quotaSite(t)
+		former := mdl.controllers[0]
+		own := mdl.pools[0].present()
+		mdl.send(own, 0)
+		delayed := mdl.messages[len(mdl.messages)-1]
+		mdl.openController()
+		present := mdl.controllers[1]
+		mdl.now += GrantLifetime
+		mdl.ask(own, former, 10)
+		mdl.now += 2 * time.Second
+		present.checkQuotas(mdl.wallClock())
+		present.HandleQuotaReport(mdl.wallClock(), delayed.rpt)
+		for range 3 {
+			present.checkQuotas(mdl.wallClock())
+			mdl.ask(mdl.pools[1].present(), present, 10)
+			mdl.ask(mdl.pools[2].present(), present, 0)
+		}
+		mdl.check()
+	})
+}
+
+// A limit is lowered while no controller answers: owners cut what they hold by themselves.
+func TestLoweredLimitWithoutController(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		mdl := quotaSite(t)
+		for range 3 {
+			for _, pol := range mdl.pools {
+				mdl.now += 100 * time.Millisecond
+				mdl.controllers[0].checkQuotas(mdl.wallClock())
+				mdl.ask(pol.present(), mdl.controllers[0], 10)
+				pol.present().running = 0
+			}
+		}
+		mdl.setCap(4)
+		for _, pol := range mdl.pools {
+			for range 10 {
+				mdl.start(pol.present())
+			}
+		}
+		mdl.check()
+	})
+}
