--- a/internal/schedule/service/relay.go
+++ b/internal/schedule/service/relay.go
@@ -16,8 +16,8 @@
 	methodReadOperator = "operator.read"
 	// relayTimeout bounds a read through one other entry: 20 times the usual round trip and read.
 	relayTimeout = 100 * time.Millisecond
-	// maxRelays is the number of entries that are asked in turn.
-	maxRelays = 2
+	// maxRelays is the number of entries that are asked in turn. One that the log turns away too says so at once.
+	maxRelays = 5
 )
 
 // operatorRequestJSON asks an entry to read operator records on behalf of another.
