--- a/internal/caller/admission/gate.go
+++ b/internal/caller/admission/gate.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 
 	"daisywheel/internal/fleet/queue"
 	"daisywheel/internal/result/code"
@@ -25,10 +27,20 @@
 	Metrics   *metrics.Set
 }
 
+const (
+	// verifyTimeout bounds a read of the configuration that a request waits for: 150 times the usual 4 ms.
+	verifyTimeout = 600 * time.Millisecond
+	// verifyPause is how long after a read that failed no other is tried: callers are then better served by another
+	// entry, and must not wait in turn to learn it.
+	verifyPause = 300 * time.Millisecond
+)
+
 // Gate finds the queue of a request and checks the caller's API key. It is safe for concurrent use.
 type Gate struct {
 	cfg             GateConfig
 	unknown, unsure *metrics.Counter
+	mu              sync.Mutex
+	failedAt        time.Time // when the last read failed; zero if it succeeded
 }
 
 // NewGate returns a Gate.
@@ -66,9 +78,32 @@
 			gat.unsure.Inc()
 			return que, rest, true, fault.New(code.KeyUnproven, "the configuration is %s old", age.Round(time.Millisecond))
 		}
-		if err := gat.cfg.CatchUp(ctx, now); err != nil {
+		if err := gat.verify(ctx, now); err != nil {
 			gat.unsure.Inc()
 			return que, rest, true, fault.Wrap(err, code.KeyUnproven, "API keys as of now")
 		}
 	}
 }
+
+// verify returns once the configuration is as it was stored at now. It fails at once for a while after a read that failed.
+func (gat *Gate) verify(ctx context.Context, now time.Time) error {
+	gat.mu.Lock()
+	hasFailed := !gat.failedAt.IsZero() && now.Sub(gat.failedAt) < verifyPause
+	gat.mu.Unlock()
+	if hasFailed {
+		return errors.New("the last read of the configuration has failed")
+	}
+	readCtx, cancel := context.WithTimeout(ctx, verifyTimeout)
+	defer cancel()
+	err := gat.cfg.CatchUp(readCtx, now)
+	if ctx.Err() != nil { // a caller that has gone tells nothing of the log
+		return err
+	}
+	gat.mu.Lock()
+	defer gat.mu.Unlock()
+	gat.failedAt = time.Time{}
+	if err != nil {
+		gat.failedAt = time.Now()
+	}
+	return err
+}
--- a/internal/caller/admission/gate_test.go
+++ b/internal/caller/admission/gate_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -81,6 +82,27 @@
 	}
 }
 
+// While the log can't be read callers are refused at once, and soon after it can be they are served.
+func TestGateDoesNotReadInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ent := &entry{present: tableOf(t, 1, "key"), stored: tableOf(t, 2, "key"), age: time.Hour, isCutOff: true}
+		gat := ent.gate(5 * time.Second)
+		for range 20 {
+			if _, _, _, err := gat.Admit(t.Context(), time.Now(), "h", "/q/x", "key"); fault.CodeOf(err) != code.KeyUnproven {
+				t.Errorf("error %v, want keyUnproven", err)
+			}
+		}
+		if ent.reads != 1 {
+			t.Errorf("%d reads for 20 requests, want 1", ent.reads)
+		}
+		ent.isCutOff = false
+		time.Sleep(500 * time.Millisecond)
+		if _, _, _, err := gat.Admit(t.Context(), time.Now(), "h", "/q/x", "key"); err != nil {
+			t.Errorf("after the log is back: %v", err)
+		}
+	})
+}
+
 func TestGateWithoutConfiguration(t *testing.T) {
 	ent := &entry{}
 	if _, _, _, err := ent.gate(0).Admit(t.Context(), time.Now(), "h", "/q/x", "key"); fault.CodeOf(err) != code.NotReady {
