Let the soak check limits of organisations, and name the organisation in the line on a stored job

Cause: limits were tested by owners, controllers and messages drawn apart from VMs, restarts and lost answers. Change: in half of the soaks without gangs every other job belongs to an organisation with a limit; reports and grants are lost at times, and the VMs check the sum.

--- a/internal/schedule/owner/append.go
+++ b/internal/schedule/owner/append.go
@@ -325,7 +325,7 @@
 		}
 		own.resolve(sub, nil)
 		own.event(now, "jobStored", slog.String("job", sub.job.Plan.ID), slog.String("queue", sub.job.Queue),
-			slog.Int("steps", len(sub.job.Plan.Steps)), slog.Duration("after", now.Sub(sub.job.FirstAttempt)))
+			slog.String("organisation", sub.job.Organisation), slog.Int("steps", len(sub.job.Plan.Steps)), slog.Duration("after", now.Sub(sub.job.FirstAttempt)))
 	}
 	if !bat.isPart {
 		own.sch.CommitBatch(bat.changes)
--- a/internal/standin/vmfleet/vmfleet.go
+++ b/internal/standin/vmfleet/vmfleet.go
@@ -31,6 +31,9 @@
 	// part of a start order.
 	Demand  func(tid task.ID) plan.Demand
 	RunTime func(tid task.ID) time.Duration
+	// Limit returns the group of a task, and what the group may have running on all VMs; 0 of a resource is no
+	// limit. If it is nil, or for no group, there is none.
+	Limit func(tid task.ID) (group string, limit plan.Demand)
 	// MaxLease is the longest lease that a VM grants; 0: any.
 	MaxLease time.Duration
 	// IsFailing reports whether a run fails. If it is nil, no run fails.
@@ -262,6 +265,7 @@
 	if !used.Fits(vmo.host.Capacity) {
 		flt.violations = append(flt.violations, fmt.Sprintf("VM %s exceeds its capacity with task %s", vmo.host.ID, ord.Task))
 	}
+	flt.checkLimit(now, ord.Task)
 	for _, other := range flt.vms {
 		other.advance(now, flt)
 		if other.runs[ord.Task] != nil {
@@ -273,6 +277,30 @@
 	}
 }
 
+// checkLimit records a start that brings the task's group over its limit.
+func (flt *Fleet) checkLimit(now time.Time, started task.ID) {
+	if flt.cfg.Limit == nil {
+		return
+	}
+	group, limit := flt.cfg.Limit(started)
+	if group == "" {
+		return
+	}
+	used := flt.cfg.Demand(started)
+	for _, vmo := range flt.vms {
+		vmo.advance(now, flt)
+		for tid := range vmo.runs {
+			if other, _ := flt.cfg.Limit(tid); other == group {
+				used = used.Plus(flt.cfg.Demand(tid))
+			}
+		}
+	}
+	exceeds := func(used, limit int64) bool { return limit > 0 && used > limit }
+	if exceeds(used.MilliCores, limit.MilliCores) || exceeds(used.MemoryMB, limit.MemoryMB) || exceeds(used.GPUs, limit.GPUs) {
+		flt.violations = append(flt.violations, fmt.Sprintf("group %s runs %+v with task %s, its limit is %+v", group, used, started, limit))
+	}
+}
+
 func (vmo *vm) notify() {
 	close(vmo.changed)
 	vmo.changed = make(chan struct{})
--- a/test/answers/answers_test.go
+++ b/test/answers/answers_test.go
@@ -76,7 +76,8 @@
 	lines      []string
 	broken     map[string]int // number of breaches by check
 	hasGangs   bool
-	countsSeen int // counts that were due to be above 0
+	limit      plan.Demand // of the organisation, see drawLimit
+	countsSeen int         // counts that were due to be above 0
 	faultMu    sync.Mutex
 	faults     []series
 }
@@ -87,9 +88,10 @@
 	submitAt, againAt, cancelAt time.Duration // againAt and cancelAt are 0 for never
 	isHopeless                  bool          // all its runs fail
 	isShort                     bool          // its runs are short
-	inFlight                    int           // submissions without an answer yet
-	isStorable                  bool          // a submission was not refused
-	acceptedAt, begunAt         time.Time     // begunAt is the start of its first run on any VM
+	organisation                string
+	inFlight                    int       // submissions without an answer yet
+	isStorable                  bool      // a submission was not refused
+	acceptedAt, begunAt         time.Time // begunAt is the start of its first run on any VM
 	isCancelSent                bool
 	done                        map[task.ID]bool
 	failures                    map[task.ID]int
@@ -148,7 +150,7 @@
 		})
 	}
 	demand := func(tid task.ID) plan.Demand { return sok.byID[tid.Job].plan.Steps[tid.Step].Demand }
-	sok.fleet = vmfleet.New(sok.begun, vmfleet.Config{Latency: time.Millisecond, MaxLease: longestLease, Demand: demand, RunTime: sok.beginRun, IsFailing: sok.endRun}, hosts)
+	sok.fleet = vmfleet.New(sok.begun, vmfleet.Config{Latency: time.Millisecond, MaxLease: longestLease, Demand: demand, RunTime: sok.beginRun, IsFailing: sok.endRun, Limit: sok.limitOf}, hosts)
 	for i := range entryCount {
 		sok.entries = append(sok.entries, &entry{soak: sok, name: fmt.Sprintf("entry-%d", i)})
 	}
@@ -166,6 +168,7 @@
 			ent.offset = time.Duration(other.Int64N(int64(2*maxOffset))) - maxOffset
 		}
 	}
+	sok.drawLimit(rand.New(rand.NewPCG(seed, 2)))
 	return sok
 }
 
@@ -320,6 +323,7 @@
 	}
 	quit := make(chan struct{})
 	grp.Go(func() { sok.changeOwners(quit) })
+	grp.Go(func() { sok.grantQuotas(quit) })
 	for sok.now() < endTime && !sok.isIdle() {
 		time.Sleep(askInterval)
 		sok.ask()
@@ -375,7 +379,7 @@
 		sok.mu.Lock()
 		jfs.inFlight++
 		sok.mu.Unlock()
-		err := hld.owner.Submit(ctx, hld.entry.now(), jfs.plan, queue.Ref{Name: queueName})
+		err := hld.owner.Submit(ctx, hld.entry.now(), jfs.plan, jfs.ref())
 		sok.mu.Lock()
 		defer sok.mu.Unlock()
 		jfs.inFlight--
@@ -394,7 +398,7 @@
 		sok.mu.Lock()
 		jfs.isCancelSent = true
 		sok.mu.Unlock()
-		found, err := hld.owner.Cancel(ctx, hld.entry.now(), queue.Ref{Name: queueName}, jfs.plan.ID)
+		found, err := hld.owner.Cancel(ctx, hld.entry.now(), jfs.ref(), jfs.plan.ID)
 		return found && err == nil
 	})
 }
@@ -414,7 +418,7 @@
 		}
 		drawn := int(sok.draw("stored", sok.now()) * float64(len(sok.jobs)))
 		for i, jfs := range sok.jobs {
-			ste, ok, err := hld.owner.State(queue.Ref{Name: queueName}, jfs.plan.ID)
+			ste, ok, err := hld.owner.State(jfs.ref(), jfs.plan.ID)
 			_, isOther, otherErr := hld.owner.State(queue.Ref{Name: otherQueue}, jfs.plan.ID)
 			sok.mu.Lock()
 			if isOther && otherErr == nil {
--- a/test/answers/faults_test.go
+++ b/test/answers/faults_test.go
@@ -336,7 +336,7 @@
 	que := queue.Queue{Name: queueName, Pool: pool, MaxAttempts: maxAttempts, DeadlineFactor: 1.6, LatencyGoal: time.Second}
 	own, err := owner.Open(ctx, ent.now(), owner.Config{
 		Pool: pool, Address: ent.name, MaxLease: maxLease, LongestLease: longestLease, StatusRetention: retention, StateLog: ent.log(), Agent: ent.agent(),
-		Journal: jnl, Metrics: metrics.NewSet(), Table: queue.NewTable(1, []queue.Queue{que, {Name: otherQueue, Pool: pool}}, []queue.Pool{{Name: pool}}), RequestReport: func() {}, SinceBoot: sok.now, Now: ent.now,
+		Journal: jnl, Metrics: metrics.NewSet(), Table: queue.NewTable(1, []queue.Queue{que, {Name: otherQueue, Pool: pool}}, []queue.Pool{{Name: pool}}).WithOrganisations(sok.organisations()), RequestReport: func() {}, SinceBoot: sok.now, Now: ent.now,
 	})
 	if err != nil {
 		jnl.Close()
