--- a/internal/caller/budget/budget.go
+++ b/internal/caller/budget/budget.go
@@ -186,8 +186,9 @@
 	return true
 }
 
-// victim returns the connection that should make room, or nil: of the address that holds most among those with a connection that waits for its caller,
-// the one that holds most, and of equals the one that has not got on for longest. The caller holds the lock.
+// victim returns the connection that should make room, or nil. Only connections that wait for their callers, and the one
+// that asks, are considered: those of the address that holds most, the one that holds most, and of equals the one that has
+// not got on for longest. The caller holds the lock.
 func (bgt *Budget) victim(asking *Holder) *Holder {
 	byAddress := map[string]int64{}
 	for hld := range bgt.holders {
--- a/internal/schedule/service/fleet.go
+++ b/internal/schedule/service/fleet.go
@@ -195,14 +195,22 @@
 		return nil, fault.Wrap(err, code.BadRequest, "decoding the report of a pool")
 	}
 	now := time.Now()
+	ctl, err := svc.presentController(now)
+	if err != nil {
+		return nil, err
+	}
+	return handleReport(now, ctl, decodePool(now, msg)), nil
+}
+
+// presentController is activeController for callers without the lock. It fails if there is none.
+func (svc *Service) presentController(now time.Time) (*fleetcontroller.Controller, error) {
 	svc.mu.Lock()
+	defer svc.mu.Unlock()
 	ctl := svc.activeController(now)
-	svc.mu.Unlock()
 	if ctl == nil {
 		return nil, fault.New(code.NotReady, "this entry does not run the fleet controller")
 	}
-	pol := decodePool(now, msg)
-	return handleReport(now, ctl, pol), nil
+	return ctl, nil
 }
 
 // handleReport passes a report to the fleet controller and returns its reply.
--- a/internal/schedule/service/quota.go
+++ b/internal/schedule/service/quota.go
@@ -104,11 +104,9 @@
 		return nil, fault.Wrap(err, code.BadRequest, "decoding a quota report")
 	}
 	now := time.Now()
-	svc.mu.Lock()
-	ctl := svc.activeController(now)
-	svc.mu.Unlock()
-	if ctl == nil {
-		return nil, fault.New(code.NotReady, "this entry does not run the fleet controller")
+	ctl, err := svc.presentController(now)
+	if err != nil {
+		return nil, err
 	}
 	return handleQuotaReport(now, ctl, decodeQuotaReport(msg)), nil
 }
