Start the process of the crowd's tests again if its ports were taken

Cause: ports that were free may be taken before the process listens, which would fail a test for no fault of the product. Change: the process starts on other ports then; the crowd and the bounds stay as they were.

--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -116,9 +116,22 @@
 	srv := &http.Server{Handler: newPlatform(configJSON)}
 	go func() { _ = srv.Serve(lsn) }()
 	t.Cleanup(func() { _ = srv.Close() })
+	for range 5 {
+		if ent := startProcess(t, lsn.Addr()); ent != nil {
+			ent.askOrdinary("0000000000000001", 100) // until it has claimed its pool
+			return ent
+		}
+	}
+	t.Fatal("the process does not start")
+	return nil
+}
+
+// startProcess starts the process on ports that were free. It returns nil if another process has taken one meanwhile.
+func startProcess(t *testing.T, platform net.Addr) *entry {
+	t.Helper()
 	port := freePorts(t, 4)
 	settings := filepath.Join(t.TempDir(), "boot.yaml")
-	text := fmt.Sprintf(settingsYAML, port, port+1, port+2, port+3, memoryMB, maxDescriptors, lsn.Addr(), lsn.Addr())
+	text := fmt.Sprintf(settingsYAML, port, port+1, port+2, port+3, memoryMB, maxDescriptors, platform, platform)
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -136,8 +149,22 @@
 		_ = ent.cmd.Process.Kill()
 		<-ent.ended
 	})
-	ent.askOrdinary("0000000000000001", 100) // until it has claimed its pool
-	return ent
+	for range 200 {
+		if cnn, err := net.DialTimeout("tcp", ent.address, hangLimit); err == nil {
+			_ = cnn.Close()
+			return ent
+		}
+		select {
+		case <-ent.ended:
+			if !strings.Contains(ent.output.String(), "address already in use") {
+				t.Fatalf("the process has ended: %.2000s", ent.output.String())
+			}
+			return nil
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	t.Fatal("the process does not listen")
+	return nil
 }
 
 // askOrdinary submits an ordinary job, as often as a caller may who is refused, and fails unless it is
