Show the use of limits in metrics, and refuse names of organisations that no metric can have

Cause: operators saw limits in log lines only. A name with a quote would end the process as it names a metric. Change: gauges of what runs, is held and waits, by pool and organisation; names are at most 200 printable characters without quotes and backslashes.

--- a/internal/fleet/organisation/organisation.go
+++ b/internal/fleet/organisation/organisation.go
@@ -6,6 +6,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
+	"strings"
+	"unicode"
 
 	"github.com/cockroachdb/errors"
 
@@ -75,11 +77,19 @@
 	return texts
 }
 
+// maxNameBytes bounds a name, which becomes part of records, log lines and metrics.
+const maxNameBytes = 200
+
+// isUnusable reports whether a name can't have the character, as it is part of names of metrics.
+func isUnusable(chr rune) bool { return chr == '"' || chr == '\\' || !unicode.IsPrint(chr) }
+
 func (set *Set) add(org Organisation, digests []digest) error {
 	dmd := org.Cap
 	switch {
 	case org.Name == "":
 		return errors.New("an organisation has no name")
+	case len(org.Name) > maxNameBytes || strings.ContainsFunc(org.Name, isUnusable):
+		return errors.Newf("name of organisation %.80q is longer than %d bytes, or has a quote, a backslash or a control character", org.Name, maxNameBytes)
 	case slices.ContainsFunc(set.list, func(other Organisation) bool { return other.Name == org.Name }):
 		return errors.Newf("organisation %.80q is named twice", org.Name)
 	case !(org.Weight >= 0):
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -91,7 +91,9 @@
 	handovers    map[string]*handover // by job
 	hasVMList    bool                 // the list of the pool's VMs has been read in this term
 	refusals     *refusal.Refusals
-	waiters      []chan struct{} // each is closed when the next batch is stored
+	// reportedOrganisations are those of the last quota report.
+	reportedOrganisations map[string]bool
+	waiters               []chan struct{} // each is closed when the next batch is stored
 	// appendTime and orderTime are histograms of call durations in seconds.
 	appendTime   *metrics.Histogram
 	orderTime    *metrics.Histogram
--- a/internal/schedule/owner/quota.go
+++ b/internal/schedule/owner/quota.go
@@ -10,7 +10,31 @@
 func (own *Owner) QuotaReport(now time.Time) quota.Report {
 	own.mu.Lock()
 	defer own.mu.Unlock()
-	return own.sch.QuotaReport(now)
+	rpt := own.sch.QuotaReport(now)
+	own.updateQuotaMetrics(rpt.Usages)
+	return rpt
+}
+
+// updateQuotaMetrics sets the gauges of organisations with a limit, to 0 for those that have left the report. The caller
+// holds the lock.
+func (own *Owner) updateQuotaMetrics(usages []quota.Usage) {
+	left := own.reportedOrganisations
+	own.reportedOrganisations = map[string]bool{}
+	for _, usg := range usages {
+		own.setQuotaMetrics(usg)
+		own.reportedOrganisations[usg.Organisation] = true
+		delete(left, usg.Organisation)
+	}
+	for name := range left {
+		own.setQuotaMetrics(quota.Usage{Organisation: name})
+	}
+}
+
+func (own *Owner) setQuotaMetrics(usg quota.Usage) {
+	for kind, milliCores := range map[string]int64{"used": usg.Used.MilliCores, "held": usg.Held.MilliCores, "waiting": usg.Want.MilliCores + usg.Late.MilliCores} {
+		name := `daisywheel_organisation_millicores{pool="` + own.cfg.Pool + `",organisation="` + usg.Organisation + `",kind="` + kind + `"}`
+		own.cfg.Metrics.GetOrCreateGauge(name, nil).Set(float64(milliCores))
+	}
 }
 
 // ApplyGrants applies the reply to the quota report with the number.
