Compute when VMs are free at most five times a second, and not in a pool that needs all of them

Change: the outlook is computed once a step, at most each 0.2 s, and not while the pool itself needs all its VMs.

--- a/internal/schedule/poolscheduler/pool.go
+++ b/internal/schedule/poolscheduler/pool.go
@@ -23,11 +23,6 @@
 			if tst.step.plan.IsLongRunning {
 				vm.LongRunning++
 			}
-			if sch.mayYield(now, tst) {
-				vm.Yielding++
-			} else if !tst.step.plan.IsLongRunning {
-				vm.FreeIn = max(vm.FreeIn, sch.expectedRest(now, tst))
-			}
 		}
 		pol.VMs = append(pol.VMs, vm)
 	}
@@ -43,6 +38,7 @@
 	if len(pol.VMs) > 0 {
 		pol.LongRunningDeficit = missingVMs * pol.VMs[0].MilliCores
 	}
+	sch.addRelease(now, &pol)
 	return pol
 }
 
--- a/internal/schedule/poolscheduler/poolscheduler.go
+++ b/internal/schedule/poolscheduler/poolscheduler.go
@@ -88,6 +88,7 @@
 	endedIncarnations map[string]int64           // by VM: the ended incarnation that may still be listed
 	evacuating        map[string]bool            // by id: the VMs that are to be evacuated
 	yielding          map[string]bool            // by id: see SetYielding
+	releasedAt        time.Time                  // when updateRelease last computed anything
 	revision          int64                      // the highest one of a VM, see balance.VM
 	book              *allowance.Book
 	orgUsed           map[string]*plan.Demand // by organisation: what its runs use that this owner knows of
--- a/internal/schedule/poolscheduler/state.go
+++ b/internal/schedule/poolscheduler/state.go
@@ -73,6 +73,7 @@
 	lastStartAt  time.Time     // start of the task that was started last
 	runTime      time.Duration // from lastStartAt until the step was done; 0 while unknown
 	siblings     estimate.Siblings
+	outlook      outlook // of its tasks, see Scheduler.outlookOf
 }
 
 // isDone reports whether all tasks of the step are done.
@@ -154,8 +155,10 @@
 	clockAt             time.Time
 	leaseEnd            time.Time // by the owner's clock: when the runs there have ended unless renewed
 	lastReportAt        time.Time
-	firstReportAt       time.Time   // by this incarnation to this owner; zero if an earlier owner used it
-	used                plan.Demand // by its tasks
+	firstReportAt       time.Time     // by this incarnation to this owner; zero if an earlier owner used it
+	used                plan.Demand   // by its tasks
+	yieldingTasks       int           // see updateRelease
+	freeIn              time.Duration // see updateRelease
 	tasks               map[task.ID]*taskState
 	tasksPerStep        map[*stepState]int
 	latencyBoundTasks   int // tasks with a latency goal
