Let late work yield only where organisations share the fleet

Earlier deployments are to be served as before. Change: runs yield, and VMs are chosen by when they are free, only by a configuration with organisations.

--- a/internal/schedule/poolscheduler/yield.go
+++ b/internal/schedule/poolscheduler/yield.go
@@ -14,9 +14,12 @@
 // SetYielding sets the VMs that are to be evacuated for work of another pool that can end in time.
 func (sch *Scheduler) SetYielding(vms map[string]bool) { sch.yielding = vms }
 
+// isShared reports whether organisations share the fleet. Only then late work makes room for other pools.
+func (sch *Scheduler) isShared() bool { return sch.table != nil && sch.table.Organisations() != nil }
+
 // planYields stops tasks of jobs that are late in any case on VMs that another pool needs for work that can end in time.
 func (sch *Scheduler) planYields(now time.Time) {
-	if len(sch.yielding) == 0 {
+	if len(sch.yielding) == 0 || !sch.isShared() {
 		return
 	}
 	for _, vst := range sch.sortedVMs() {
@@ -44,7 +47,7 @@
 	for i := range pol.VMs {
 		supply += pol.VMs[i].MilliCores
 	}
-	if pol.Demand >= supply {
+	if pol.Demand >= supply || !sch.isShared() {
 		return
 	}
 	sch.updateRelease(now)
--- a/internal/schedule/poolscheduler/yield_test.go
+++ b/internal/schedule/poolscheduler/yield_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"daisywheel/internal/fleet/agent"
+	"daisywheel/internal/fleet/organisation"
+	"daisywheel/internal/fleet/queue"
 	"daisywheel/internal/job/plan"
 	"daisywheel/internal/job/task"
 	"daisywheel/internal/schedule/jobrecord"
@@ -20,6 +22,8 @@
 // that is to be evacuated, and the time.
 func newYieldingPool(late, inTime plan.Step) (*poolscheduler.Scheduler, time.Time) {
 	sch, _ := newScheduler(true)
+	queues := []queue.Queue{{Name: "q", Pool: "gate", MaxAttempts: 2, DeadlineFactor: 1.5}}
+	sch.SetTable(queue.NewTable(2, queues, nil).WithOrganisations(organisation.NewSet()))
 	addVMs(start, sch, vm("a", 1))
 	sch.Accept(start, jobrecord.Job{Queue: "q", FirstAttempt: start.Add(-time.Minute), Plan: &plan.Plan{ID: lateID, Steps: []plan.Step{late}}})
 	sch.Accept(start, jobrecord.Job{Queue: "q", FirstAttempt: start, Plan: &plan.Plan{ID: inTimeID, Steps: []plan.Step{inTime}}})
@@ -73,6 +77,19 @@
 	}
 }
 
+// Where no organisations share the fleet, work ends by itself.
+func TestNothingYieldsWithoutOrganisations(t *testing.T) {
+	sch, now := newYieldingPool(plan.Step{Count: 2, Demand: plan.Demand{MilliCores: 1000}, Estimate: 5 * time.Second}, step(1, 1000))
+	sch.SetTable(queue.NewTable(3, []queue.Queue{{Name: "q", Pool: "gate", MaxAttempts: 2, DeadlineFactor: 1.5}}, nil))
+	sch.SetYielding(map[string]bool{"a": true})
+	if got := sch.BalanceInput(now).VMs[0]; got.Yielding != 0 || got.FreeIn != 0 {
+		t.Errorf("reported %+v", got)
+	}
+	if got := stopped(sch.Plan(now)); len(got) != 0 {
+		t.Errorf("stopped %v", got)
+	}
+}
+
 func TestWhatDoesNotYield(t *testing.T) {
 	short := plan.Step{Count: 2, Demand: plan.Demand{MilliCores: 1000}, Estimate: 300 * time.Millisecond}
 	gang := plan.Step{Count: 2, Demand: plan.Demand{MilliCores: 1000}, Estimate: 5 * time.Second, IsGang: true}
