Choose the ports of entries in tests of processes where no connection takes them

Its entry had ended with "peer address 127.0.0.1:41527: bind: address already in use". The port had been free when the test chose it; 41527 is among the ports that the system gives to connections (32768 to 60999), and tests of other packages open many at the same time. Change: freeAddress chooses a port below 32768, by chance, and checks as before that it is free. What the tests check is as before.

--- a/test/processes/fleet_test.go
+++ b/test/processes/fleet_test.go
@@ -6,11 +6,13 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -75,14 +77,24 @@
 	peer     string
 }
 
+const (
+	// The system takes no ports below 32768 for connections, so that none is taken between the choice and the start of a process.
+	minPort = 20000
+	maxPort = 32767
+)
+
+// freeAddress returns a loopback address that is free.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	lsn, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 100 {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(minPort+rand.IntN(maxPort-minPort)))
+		if lsn, err := net.Listen("tcp", address); err == nil {
+			_ = lsn.Close()
+			return address
+		}
 	}
-	defer func() { _ = lsn.Close() }()
-	return lsn.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 func startFleet(t *testing.T, entries int) *fleet {
