Let owners accept jobs only by routes that they have opened

Cause: nothing at the owner that accepts proved that its route of the queue is the present one. The sender asked the pools that it remembered as former ones, for some seconds; one that has just started remembers none, and the index has only pools that have accepted jobs.

Change: an owner registers a route (queue, pool, since which version) in the index of pools before it accepts a job by it, once a term, and reads the index then. Of two owners at least one sees the other's record, as the log orders them. One that sees a later route refuses with staleRoute. One that sees earlier routes closes them first: it asks their owners to read the version, and ends the term of one that does not answer within 1.35 s by a claim and an epoch in the log. Then it looks up jobs that callers may repeat in the log. The wait for a former owner of 5 s and more is gone. A route that is open costs nothing; while the log is down nothing was accepted before either.

Also refused now: jobs whose sender names no version, while another pool has the queue by the owner's own configuration.

Rolling updates: a submission goes as job.accept; owners of earlier versions do not know the method, and the sender asks former pools itself for them, as before. Records of the index have a field more, which earlier versions do not read; one without it counts as the earliest route.

--- a/internal/peer/rpc/rpc.go
+++ b/internal/peer/rpc/rpc.go
@@ -147,6 +147,10 @@
 	return fault.NewRetryAfter(time.Duration(dat.RetryAfterMs)*time.Millisecond, code.Code(rpcErr.Code), "%s", rpcErr.Message)
 }
 
+// IsUnknownMethod reports whether the error is that the peer does not know the method, as it runs an earlier version of
+// the program. It has done nothing then.
+func IsUnknownMethod(err error) bool { return fault.CodeOf(err) == jsonrpc2.CodeMethodNotFound }
+
 // Call calls a method of the peer at the address and decodes the reply into out. A
 // call that fails may or may not have been carried out.
 func (ept *Endpoint) Call(ctx context.Context, address, method string, params, out any) error {
--- a/internal/schedule/claim/claim.go
+++ b/internal/schedule/claim/claim.go
@@ -51,6 +51,17 @@
 // the topic not having changed since the last claim was read, so terms and tokens
 // only increase.
 func Acquire(ctx context.Context, log statelog.Client, name, address string) (Claim, error) {
+	return acquire(ctx, log, name, func(string) string { return address })
+}
+
+// Supersede stores a claim of name that ends the present term, for an owner that can't be asked. It has the address of
+// the last claim, but nobody acts by it; the next owner claims again.
+func Supersede(ctx context.Context, log statelog.Client, name string) (Claim, error) {
+	return acquire(ctx, log, name, func(last string) string { return last })
+}
+
+// acquire stores a claim with the address that the function returns for that of the last claim.
+func acquire(ctx context.Context, log statelog.Client, name string, address func(last string) string) (Claim, error) {
 	var err error
 	for range maxAttempts {
 		var clm Claim
@@ -65,7 +76,7 @@
 	return Claim{}, errors.Wrapf(err, "claim %s", name)
 }
 
-func acquireOnce(ctx context.Context, log statelog.Client, name, address string) (Claim, error) {
+func acquireOnce(ctx context.Context, log statelog.Client, name string, address func(last string) string) (Claim, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	recs, end, err := log.Newest(ctx, topic, 0)
@@ -81,7 +92,7 @@
 			return Claim{}, errors.Wrap(err, "decode last claim")
 		}
 	}
-	next := claimJSON{Address: address, Term: last.Term + 1}
+	next := claimJSON{Address: address(last.Address), Term: last.Term + 1}
 	data, err := json.Marshal(next)
 	if err != nil {
 		return Claim{}, errors.Wrap(err, "encode claim")
--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -66,7 +66,8 @@
 
 // Names of the RPC methods between entries.
 const (
-	methodSubmit = "job.submit"
+	methodSubmit = "job.submit" // of earlier versions, whose owners do not look for the job in other pools
+	methodAccept = "job.accept"
 	methodState  = "job.state"
 	methodCancel = "job.cancel"
 	methodQueued = "queue.waiting"
@@ -102,7 +103,9 @@
 	assignments    map[string]assignment // by address of the queue
 	// leftAt has, by address of the queue, the pools that lately had it, and when this entry learned
 	// that they have it no longer.
-	leftAt map[string]map[string]time.Time
+	leftAt  map[string]map[string]time.Time
+	ending  sync.Mutex           // held while the term of an owner is ended
+	endedAt map[string]time.Time // by pool: when this entry last began to end its owner's term
 }
 
 // assignment is the pool of a queue since a version of the configuration, and since when this entry
@@ -115,8 +118,9 @@
 
 // New returns a Gateway and registers its RPC handlers on the peer endpoint.
 func New(cfg Config) *Gateway {
-	gtw := &Gateway{cfg: cfg, leftAt: map[string]map[string]time.Time{}, ownerAddresses: map[string]string{}, lookedUpAt: map[string]time.Time{}, isLogReachable: true}
+	gtw := &Gateway{cfg: cfg, endedAt: map[string]time.Time{}, leftAt: map[string]map[string]time.Time{}, ownerAddresses: map[string]string{}, lookedUpAt: map[string]time.Time{}, isLogReachable: true}
 	cfg.PeerEndpoint.Handle(methodSubmit, gtw.serveSubmit)
+	cfg.PeerEndpoint.Handle(methodAccept, gtw.serveSubmit)
 	cfg.PeerEndpoint.Handle(methodState, gtw.serveState)
 	cfg.PeerEndpoint.Handle(methodCancel, gtw.serveCancel)
 	cfg.PeerEndpoint.Handle(methodQueued, gtw.serveQueued)
@@ -193,16 +197,11 @@
 		return fault.Wrap(err, code.BadShape, "job cannot be stored")
 	}
 	_, err = gtw.byRoute(ctx, now, que, pln.ID, func(que queue.Queue) (reply, error) {
-		isAccepted, err := gtw.isAcceptedBefore(ctx, now, que, pln.ID)
-		if isAccepted || err != nil {
-			return reply{IsFound: isAccepted}, err
-		}
 		req := newRequest(que.Pool, que, "")
 		req.Job = job
-		_, err = gtw.call(ctx, methodSubmit, req, func(own *owner.Owner) (reply, error) {
+		return gtw.submit(ctx, now, que, pln.ID, req, func(own *owner.Owner) (reply, error) {
 			return reply{}, own.Submit(ctx, now, pln, que.Ref())
 		})
-		return reply{IsFound: err == nil}, err
 	})
 	return err
 }
@@ -607,7 +606,7 @@
 		return nil, fault.Wrap(err, code.BadShape, "peer's question")
 	}
 	// Also an entry that does not own the pool may be about to.
-	if err := gtw.readVersion(ctx, req.MinVersion); err != nil {
+	if err := gtw.ReadVersion(ctx, req.MinVersion); err != nil {
 		return nil, req.refusal(err)
 	}
 	_, own, err := gtw.decodeAndFindOwner(params)
@@ -622,7 +621,10 @@
 // configuration that the request asks for, or a later one.
 func (gtw *Gateway) stateOf(ctx context.Context, own *owner.Owner, req request) (reply, error) {
 	if req.MinVersion > 0 {
-		if err := gtw.awaitVersion(ctx, own, req.MinVersion); err != nil {
+		if err := gtw.ReadVersion(ctx, req.MinVersion); err != nil {
+			return reply{}, err
+		}
+		if err := own.LeaveRoute(ctx, req.Address, req.MinVersion); err != nil {
 			return reply{}, err
 		}
 	}
--- a/internal/schedule/gateway/version.go
+++ b/internal/schedule/gateway/version.go
@@ -7,12 +7,11 @@
 
 	"daisywheel/internal/result/code"
 	"daisywheel/internal/result/fault"
-	"daisywheel/internal/schedule/owner"
 )
 
-// readVersion returns once this entry has applied the version of the configuration, or a later one. It fails
+// ReadVersion returns once this entry has applied the version of the configuration, or a later one. It fails
 // with code StaleRoute if that can't be read.
-func (gtw *Gateway) readVersion(ctx context.Context, version int64) error {
+func (gtw *Gateway) ReadVersion(ctx context.Context, version int64) error {
 	if gtw.version() >= version {
 		return nil
 	}
@@ -28,15 +27,6 @@
 	return fault.New(code.StaleRoute, "this entry has read version %d of the configuration, not yet %d (%v)", present, version, err)
 }
 
-// awaitVersion returns once the owner in this process has applied the version of the configuration and is
-// known to be the owner still.
-func (gtw *Gateway) awaitVersion(ctx context.Context, own *owner.Owner, version int64) error {
-	if err := gtw.readVersion(ctx, version); err != nil {
-		return err
-	}
-	return own.AwaitVersion(ctx, version)
-}
-
 // version returns the version of the configuration in force, 0 before the first.
 func (gtw *Gateway) version() int64 {
 	gtw.mu.Lock()
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -65,6 +65,14 @@
 	// HandOver passes a job to the owner of another pool, and returns once it is stored there. If it
 	// is nil, jobs stay in the pool.
 	HandOver func(ctx context.Context, hnd jobrecord.Handover) error
+	// CloseRoute returns once no owner of the other pool accepts jobs of the queue by a route from before the version
+	// of the configuration. IsInPool reports whether another pool, whose route is closed, has the job stored. If they
+	// are nil, other pools are left out of account.
+	CloseRoute func(ctx context.Context, pool string, que queue.Ref, version int64) error
+	IsInPool   func(ctx context.Context, pool string, que queue.Ref, id string) (bool, error)
+	// ReadVersion returns once the owner has got the version of the configuration, or a later one. If it is nil, the
+	// configuration does not change.
+	ReadVersion func(ctx context.Context, version int64) error
 	// Runtimes stores the run times that the owner learns; if it is nil, they are not stored.
 	Runtimes *runtimestore.Store
 	// RequestReport asks for a report on the pool before its regular time.
@@ -91,6 +99,7 @@
 	handovers    map[string]*handover // by job
 	hasVMList    bool                 // the list of the pool's VMs has been read in this term
 	refusals     *refusal.Refusals
+	routes       map[string]*route // by address of the queue
 	// reportedOrganisations are those of the last quota report.
 	reportedOrganisations map[string]bool
 	waiters               []chan struct{} // each is closed when the next batch is stored
@@ -104,6 +113,7 @@
 	areQueuesRecorded   bool // the queues that the pool had jobs of when the term began
 	planRequested       chan struct{}
 	flushRequested      chan struct{}
+	routesRequested     chan struct{}
 	claimCheckRequested chan struct{}
 	confirmed           confirmation
 	// confirmedVersion is the version of the configuration that was in force here at a time when
@@ -140,8 +150,8 @@
 		return nil, err
 	}
 	own := &Owner{
-		cfg: cfg, fencingToken: clm.FencingToken(), table: cfg.Table, polled: map[string]bool{}, pending: map[string]*submission{}, handovers: map[string]*handover{}, refusals: refusal.New(),
-		planRequested: make(chan struct{}, 1), flushRequested: make(chan struct{}, 1), claimCheckRequested: make(chan struct{}, 1), confirmed: cnf,
+		cfg: cfg, fencingToken: clm.FencingToken(), table: cfg.Table, polled: map[string]bool{}, pending: map[string]*submission{}, handovers: map[string]*handover{}, refusals: refusal.New(), routes: map[string]*route{},
+		planRequested: make(chan struct{}, 1), routesRequested: make(chan struct{}, 1), flushRequested: make(chan struct{}, 1), claimCheckRequested: make(chan struct{}, 1), confirmed: cnf,
 		quit: make(chan struct{}), lost: make(chan struct{}), done: make(chan struct{}),
 	}
 	own.appendTime = cfg.Metrics.GetOrCreateHistogram(`daisywheel_append_seconds{pool="` + cfg.Pool + `"}`)
@@ -158,9 +168,13 @@
 	if len(own.sch.QueueAddresses()) > 0 {
 		own.requestFlush() // their addresses are to be recorded
 	}
+	own.mu.Lock()
+	own.openRoutesOfJobs()
+	own.mu.Unlock()
 	own.event(now, "ownerStarted", slog.Int64("fence", clm.FencingToken()), slog.Int("term", clm.Term()))
 	own.loops.Go(own.planLoop)
 	own.loops.Go(own.appendLoop)
+	own.loops.Go(own.routeLoop)
 	own.loops.Go(own.tickLoop)
 	own.loops.Go(own.claimLoop)
 	if cfg.Runtimes != nil {
@@ -302,25 +316,30 @@
 	return errors.New("unknown record type")
 }
 
-// fencePreviousOwners makes the state log reject appends of previous owners, by an
-// empty append with this term's epoch.
+// fencePreviousOwners makes the state log reject appends of previous owners.
 func (own *Owner) fencePreviousOwners(ctx context.Context) error {
 	for attempt := 0; ; attempt++ {
-		callCtx, cancel := context.WithTimeout(ctx, logTimeout)
-		_, err := own.cfg.StateLog.Append(callCtx, statelog.AppendRequest{
-			Topic: jobsTopic, Partition: own.cfg.Partition, ExpectedEnd: statelog.AnyOffset,
-			Producer: own.cfg.Pool, Epoch: own.fencingToken,
-		})
-		cancel()
+		err := Fence(ctx, own.cfg.StateLog, own.cfg.Pool, own.cfg.Partition, own.fencingToken)
 		if err == nil || errors.Is(err, statelog.ErrFenced) || attempt == 3 {
-			return errors.Wrap(err, "fence previous owners")
+			return err
 		}
 		if !sleep(ctx.Done(), logRetryDelay) {
-			return errors.Wrap(err, "fence previous owners")
+			return err
 		}
 	}
 }
 
+// Fence makes the state log reject appends of the pool's owners whose fencing tokens are lower, by an empty append
+// with the token as its epoch. It fails with ErrFenced if a higher one was used.
+func Fence(ctx context.Context, log statelog.Client, pool string, partition int, token int64) error {
+	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	_, err := log.Append(ctx, statelog.AppendRequest{
+		Topic: jobsTopic, Partition: partition, ExpectedEnd: statelog.AnyOffset, Producer: pool, Epoch: token,
+	})
+	return errors.Wrap(err, "fence previous owners")
+}
+
 // sleep reports true after the wait, or false as soon as quit is closed.
 func sleep(quit <-chan struct{}, wait time.Duration) bool {
 	tmr := time.NewTimer(wait)
@@ -383,6 +402,7 @@
 	defer own.mu.Unlock()
 	own.table = tab
 	own.sch.SetTable(tab)
+	own.dropRoutes()
 	own.requestPlan()
 }
 
--- a/internal/schedule/owner/owner_test.go
+++ b/internal/schedule/owner/owner_test.go
@@ -541,8 +541,8 @@
 		if err := own.Submit(t.Context(), time.Now(), job(2, 1), old.Ref()); fault.CodeOf(err) != code.StaleRoute {
 			t.Errorf("new job routed by version 1: %v, want staleRoute", err)
 		}
-		if err := own.Submit(t.Context(), time.Now(), job(3, 1), passes); err != nil {
-			t.Errorf("new job by an entry that does not tell its version: %v", err)
+		if err := own.Submit(t.Context(), time.Now(), job(3, 1), passes); fault.CodeOf(err) != code.StaleRoute {
+			t.Errorf("new job by an entry that does not tell its version, while another pool has the queue: %v, want staleRoute", err)
 		}
 		if _, _, err := own.State(old.Ref(), job(2, 1).ID); fault.CodeOf(err) != code.StaleRoute {
 			t.Errorf("state of an unknown job, routed by version 1: %v, want staleRoute", err)
@@ -565,6 +565,9 @@
 		if err := own.Submit(t.Context(), time.Now(), job(4, 1), back.Queues()[0].Ref()); err != nil {
 			t.Errorf("new job routed by the version with which the queue has returned: %v", err)
 		}
+		if err := own.Submit(t.Context(), time.Now(), job(5, 1), passes); err != nil {
+			t.Errorf("new job by an entry that does not tell its version: %v", err)
+		}
 	})
 }
 
--- a/internal/schedule/owner/requests.go
+++ b/internal/schedule/owner/requests.go
@@ -11,48 +11,75 @@
 	"daisywheel/internal/schedule/jobrecord"
 )
 
-// Submit returns when the job is stored. After a fault with code OutcomeUnknown it
-// may be stored. A repeated submission of the same job has no effect.
+// Submit returns when the job is stored here, or known to be in another pool of the queue. After a fault with code
+// OutcomeUnknown it may be stored. A repeated submission of the same job has no effect.
 func (own *Owner) Submit(ctx context.Context, now time.Time, pln *plan.Plan, que queue.Ref) error {
+	if err := own.readVersion(ctx, que.Version); err != nil {
+		return err
+	}
+	var opened *route
+	for range maxRouteChanges {
+		sub, rt, err := own.accept(now, pln, que, opened)
+		switch {
+		case err != nil:
+			return err
+		case sub != nil:
+			return own.awaitStored(ctx, sub)
+		case rt == nil:
+			return nil
+		}
+		isAccepted, err := own.awaitRoute(ctx, now, rt, pln.ID)
+		if isAccepted || err != nil {
+			return err
+		}
+		opened = rt
+	}
+	return fault.New(code.NotReady, "the queue %s changes its route", que.Name)
+}
+
+// accept returns the submission of the job, new or pending, or nil if the pool has the job. Instead it may return
+// a route for which the submission has to wait, unless that is the one for which it has waited.
+func (own *Owner) accept(now time.Time, pln *plan.Plan, que queue.Ref, opened *route) (*submission, *route, error) {
 	own.mu.Lock()
+	defer own.mu.Unlock()
 	if que.Address == "" { // an entry of an earlier version has sent it
 		que.Address = own.addressOf(que.Name)
 	}
 	if own.isOfOtherQueue(pln.ID, que) {
-		own.mu.Unlock()
-		return fault.New(code.KeyConflict, "another queue has a job %s", pln.ID)
+		return nil, nil, fault.New(code.KeyConflict, "another queue has a job %s", pln.ID)
 	}
 	if own.isKnown(pln.ID) {
-		own.mu.Unlock()
-		return nil
+		return nil, nil, nil
+	}
+	if sub, ok := own.pending[pln.ID]; ok {
+		return sub, nil, nil
 	}
-	sub, ok := own.pending[pln.ID]
+	if own.isEnding() {
+		return nil, nil, fault.New(code.NotReady, "the pool changes its owner")
+	}
+	address, since, ok := own.routeOf(que)
 	if !ok {
-		if own.isEnding() {
-			own.mu.Unlock()
-			return fault.New(code.NotReady, "the pool changes its owner")
-		}
-		if own.isRoutedByOldConfig(que) {
-			own.mu.Unlock()
-			return newStaleRoute(que)
-		}
-		if own.lacksOrganisation(que) {
-			own.mu.Unlock()
-			// A code that earlier versions know and answer with 503.
-			return fault.New(code.QueueFull, "the queue %s needs an API key, which the sender has not checked", que.Name)
-		}
-		if own.isRetrying && now.Sub(own.stalledSince) > stallLimit {
-			wait := own.refusals.Add(now, pln)
-			own.mu.Unlock()
-			return fault.NewRetryAfter(wait, code.LogUnavailable, "nothing can be stored since %s", now.Sub(own.stalledSince).Round(time.Millisecond))
+		return nil, nil, newStaleRoute(que)
+	}
+	if own.lacksOrganisation(que) {
+		// A code that earlier versions know and answer with 503.
+		return nil, nil, fault.New(code.QueueFull, "the queue %s needs an API key, which the sender has not checked", que.Name)
+	}
+	if own.isRetrying && now.Sub(own.stalledSince) > stallLimit {
+		wait := own.refusals.Add(now, pln)
+		return nil, nil, fault.NewRetryAfter(wait, code.LogUnavailable, "nothing can be stored since %s", now.Sub(own.stalledSince).Round(time.Millisecond))
+	}
+	if address != "" {
+		rt := own.route(que, address, since)
+		if rt != opened && (rt.openedAt.IsZero() || rt.needsLookup(now)) {
+			return nil, rt, nil
 		}
-		sub = &submission{resolved: make(chan struct{}), job: jobrecord.Job{
-			Plan: pln, Queue: que.Name, Address: que.Address, Organisation: que.Organisation, FirstAttempt: own.refusals.Accept(now, pln.ID), MaxAttempts: own.maxAttemptsOf(que),
-		}}
-		own.enqueue(sub)
 	}
-	own.mu.Unlock()
-	return own.awaitStored(ctx, sub)
+	sub := &submission{resolved: make(chan struct{}), job: jobrecord.Job{
+		Plan: pln, Queue: que.Name, Address: que.Address, Organisation: que.Organisation, FirstAttempt: own.refusals.Accept(now, pln.ID), MaxAttempts: own.maxAttemptsOf(que),
+	}}
+	own.enqueue(sub)
+	return sub, nil, nil
 }
 
 // enqueue adds a submission to those that wait to be stored. The caller holds the lock.
--- /dev/null
+++ b/internal/schedule/owner/route_test.go
@@ -0,0 +1,141 @@
+package owner_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"daisywheel/internal/event/journal"
+	"daisywheel/internal/fleet/queue"
+	"daisywheel/internal/result/code"
+	"daisywheel/internal/result/fault"
+	"daisywheel/internal/schedule/owner"
+	"daisywheel/internal/schedule/poolindex"
+	"daisywheel/internal/schedule/statelog"
+	"daisywheel/internal/standin/logstore"
+)
+
+// routed is a queue with an address, by the route of one version to a pool.
+func routed(version int64, pool string) *queue.Table {
+	return queue.NewTable(version, []queue.Queue{{Name: "routed", Host: "h", Prefix: "/r/", Pool: pool, MaxAttempts: 3}},
+		[]queue.Pool{{Name: "gate"}, {Name: "mill"}})
+}
+
+// openRouted opens the owner of a pool with a configuration. Functions of the configuration that are nil stay so.
+func openRouted(t *testing.T, log statelog.Client, name string, tab *queue.Table, fns owner.Config) *owner.Owner {
+	t.Helper()
+	jnl := journal.New(journal.Config{})
+	fns.Pool, fns.Address, fns.Table, fns.StateLog, fns.Journal, fns.Metrics = name, name, tab, log, jnl, metrics.NewSet()
+	fns.MaxLease, fns.LongestLease, fns.StatusRetention = maxLease, longestLease, time.Minute
+	fns.PoolIndex = poolindex.New(poolindex.Config{StateLog: log, Journal: jnl})
+	fns.RequestReport = func() {}
+	own, err := owner.Open(t.Context(), time.Now(), fns)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(own.Close)
+	return own
+}
+
+// Of two owners that know different routes of a queue, the one with the earlier route accepts nothing, whichever is
+// the first to accept a job.
+func TestOwnerWithAnEarlierRouteAcceptsNoJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := logstore.New(logstore.Config{Latency: 4 * time.Millisecond})
+		first, second := routed(1, "gate"), routed(2, "mill")
+		var gate *owner.Owner
+		var closed atomic.Int64
+		mill := openRouted(t, store.Client(), "mill", second, owner.Config{
+			CloseRoute: func(ctx context.Context, pool string, que queue.Ref, version int64) error {
+				closed.Add(1)
+				if pool != "gate" || que.Address != "h/r/" || version != 2 {
+					t.Errorf("the pool %s is to leave %s by version %d", pool, que.Address, version)
+				}
+				gate.SetTable(second)
+				return gate.LeaveRoute(ctx, que.Address, version)
+			},
+			IsInPool: func(_ context.Context, _ string, _ queue.Ref, id string) (bool, error) {
+				return id == job(1, 1).ID, nil
+			},
+		})
+		gate = openRouted(t, store.Client(), "gate", first, owner.Config{})
+		if err := gate.Submit(t.Context(), time.Now(), job(1, 1), first.Queues()[0].Ref()); err != nil {
+			t.Errorf("job by the only route that is registered: %v", err)
+		}
+		if err := mill.Submit(t.Context(), time.Now(), job(2, 1), second.Queues()[0].Ref()); err != nil || closed.Load() != 1 {
+			t.Errorf("job by the later route: %v, %d questions to the other pool", err, closed.Load())
+		}
+		if err := mill.Submit(t.Context(), time.Now(), job(1, 1), second.Queues()[0].Ref()); err != nil {
+			t.Errorf("job that the other pool has: %v", err)
+		}
+		if _, found, err := mill.State(second.Queues()[0].Ref(), job(1, 1).ID); found || err != nil {
+			t.Errorf("a job that the other pool has is stored again: %t (%v)", found, err)
+		}
+		if err := gate.Submit(t.Context(), time.Now(), job(3, 1), first.Queues()[0].Ref()); fault.CodeOf(err) != code.StaleRoute {
+			t.Errorf("job by the earlier route, after the owner has left it: %v, want staleRoute", err)
+		}
+		gate.Close()
+		late := openRouted(t, store.Client(), "gate", first, owner.Config{})
+		if err := late.Submit(t.Context(), time.Now(), job(4, 1), first.Queues()[0].Ref()); fault.CodeOf(err) != code.StaleRoute {
+			t.Errorf("job by the earlier route, at an owner that has not read of the later one: %v, want staleRoute", err)
+		}
+	})
+}
+
+// A route is proved once a term, not with each job: the log is read twice at most, however many jobs come.
+func TestOpenRouteCostsNoReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}).Client()
+		newest := log.Newest
+		var reads atomic.Int64
+		log.Newest = func(ctx context.Context, topic string, part int) ([]statelog.Record, int64, error) {
+			if topic == "queues" {
+				reads.Add(1)
+			}
+			return newest(ctx, topic, part)
+		}
+		tab := routed(1, "gate")
+		own := openRouted(t, log, "gate", tab, owner.Config{})
+		for num := range 50 {
+			if err := own.Submit(t.Context(), time.Now(), job(num+1, 1), tab.Queues()[0].Ref()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got := reads.Load(); got > 2 {
+			t.Errorf("%d reads of the index for 50 jobs, want 2 at most", got)
+		}
+	})
+}
+
+// While the route can't be registered, submissions are refused before their callers' time is over, and at once as soon as
+// that has lasted; later the route opens.
+func TestSubmissionIsRefusedWhileItsRouteIsNotOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var isDown atomic.Bool
+		store := logstore.New(logstore.Config{Latency: 4 * time.Millisecond, Fault: func(app statelog.AppendRequest) logstore.Fault {
+			if isDown.Load() && app.Topic == "queues" {
+				return logstore.Down
+			}
+			return logstore.None
+		}})
+		tab := routed(1, "gate")
+		own := openRouted(t, store.Client(), "gate", tab, owner.Config{})
+		isDown.Store(true)
+		for _, limit := range []time.Duration{800 * time.Millisecond, 10 * time.Millisecond} {
+			sent := time.Now()
+			err := own.Submit(t.Context(), sent, job(1, 1), tab.Queues()[0].Ref())
+			if cod := fault.CodeOf(err); cod != code.NotReady && cod != code.LogUnavailable || time.Since(sent) > limit {
+				t.Errorf("%v after %s, want a refusal within %s", err, time.Since(sent), limit)
+			}
+		}
+		isDown.Store(false)
+		time.Sleep(100 * time.Millisecond)
+		if err := own.Submit(t.Context(), time.Now(), job(1, 1), tab.Queues()[0].Ref()); err != nil {
+			t.Errorf("after the index can be written again: %v", err)
+		}
+	})
+}
--- a/internal/schedule/poolindex/poolindex.go
+++ b/internal/schedule/poolindex/poolindex.go
@@ -1,5 +1,6 @@
 // Package poolindex records which pools have accepted jobs of which queue, so that the jobs
-// are found after the configuration has sent their queue to another pool.
+// are found after the configuration has sent their queue to another pool, and since which version
+// of the configuration each pool has had the queue, so that only one pool accepts its jobs.
 package poolindex
 
 import (
@@ -59,27 +60,34 @@
 type entryJSON struct {
 	Address string `json:"address"`
 	Pool    string `json:"pool"`
+	// Since is the version of the configuration by which the pool has, or had, the queue. Entries of
+	// earlier versions of the program leave it out.
+	Since int64 `json:"since,omitempty"`
 }
 
 // New returns an Index that has not been read yet.
 func New(cfg Config) *Index { return &Index{cfg: cfg, pools: map[string][]string{}} }
 
-// Record stores that the pool accepts jobs of the queue at the address. It returns when that
-// is stored, at once if it is known to be.
+// maxAttempts bounds how often a record is added while others append to the index.
+const maxAttempts = 20
+
+// Record stores that the pool has jobs of the queue at the address, unless a record says so, which may also name
+// the pool's version. It returns when that is stored, at once if it is known to be.
 func (idx *Index) Record(ctx context.Context, address, pool string) error {
 	if idx.has(address, pool) {
 		return nil
 	}
-	value, err := json.Marshal(entryJSON{Address: address, Pool: pool})
+	rec, err := encode(entryJSON{Address: address, Pool: pool})
 	if err != nil {
-		return errors.Wrap(err, "record of a queue")
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err = idx.cfg.StateLog.Append(ctx, statelog.AppendRequest{
-		Topic: topic, ExpectedEnd: statelog.AnyOffset,
-		Records: []statelog.Record{{Key: pool + "/" + hashOf(address), Value: value}},
-	})
+	for range maxAttempts {
+		if err = idx.addRecord(ctx, rec); !errors.Is(err, statelog.ErrOffsetConflict) {
+			break
+		}
+	}
 	if err != nil {
 		return errors.Wrap(err, "record of a queue")
 	}
@@ -89,6 +97,87 @@
 	return nil
 }
 
+// addRecord appends the record unless the index has one with its key.
+func (idx *Index) addRecord(ctx context.Context, rec statelog.Record) error {
+	recs, end, err := idx.cfg.StateLog.Newest(ctx, topic, 0)
+	if err != nil || slices.ContainsFunc(recs, func(old statelog.Record) bool { return old.Key == rec.Key }) {
+		return err
+	}
+	_, err = idx.cfg.StateLog.Append(ctx, statelog.AppendRequest{Topic: topic, ExpectedEnd: end, Records: []statelog.Record{rec}})
+	return err
+}
+
+func encode(ent entryJSON) (statelog.Record, error) {
+	value, err := json.Marshal(ent)
+	return statelog.Record{Key: ent.Pool + "/" + hashOf(ent.Address), Value: value}, errors.Wrap(err, "record of a queue")
+}
+
+// Registration is a request of a pool's owner to accept jobs of queues.
+type Registration struct {
+	Pool  string
+	Epoch int64            // fencing token of the owner
+	Seq   int64            // number of the registration within the epoch, from 1; a repetition has the same one
+	Since map[string]int64 // by address of the queue: version of the configuration by which the pool has it
+}
+
+// Register stores that the pool has had the queues since these versions, and then returns the other pools of each
+// queue with theirs, by address; 0 stands for a version that is not known. Of two pools that register a queue, at
+// least one gets to know of the other, as each reads the index after it has stored its own record. Registrations
+// of earlier owners of the pool are rejected from then on.
+func (idx *Index) Register(ctx context.Context, reg Registration) (map[string]map[string]int64, error) {
+	var recs []statelog.Record
+	addresses := map[string]string{} // by hash
+	for _, address := range slices.Sorted(maps.Keys(reg.Since)) {
+		rec, err := encode(entryJSON{Address: address, Pool: reg.Pool, Since: reg.Since[address]})
+		if err != nil {
+			return nil, err
+		}
+		recs = append(recs, rec)
+		addresses[hashOf(address)] = address
+	}
+	_, err := idx.cfg.StateLog.Append(ctx, statelog.AppendRequest{
+		Topic: topic, ExpectedEnd: statelog.AnyOffset, Records: recs, Producer: reg.Pool, Epoch: reg.Epoch, Seq: reg.Seq,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "register queues")
+	}
+	recs, _, err = idx.cfg.StateLog.Newest(ctx, topic, 0)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the pools of queues")
+	}
+	idx.mu.Lock()
+	defer idx.mu.Unlock()
+	others := map[string]map[string]int64{}
+	for _, address := range addresses {
+		others[address] = map[string]int64{}
+		idx.add(hashOf(address), reg.Pool)
+	}
+	for _, rec := range recs {
+		pool, hash, ok := splitKey(rec.Key)
+		address, isAsked := addresses[hash]
+		if !ok || !isAsked || pool == reg.Pool {
+			continue
+		}
+		var ent entryJSON
+		if err := json.Unmarshal(rec.Value, &ent); err != nil {
+			idx.cfg.Journal.Warn(time.Now(), "recordUnreadable", slog.String("key", rec.Key), slog.String("error", err.Error()))
+			ent.Since = 0 // the key names the pool, which has to be asked
+		}
+		others[address][pool] = ent.Since
+		idx.add(hash, pool)
+	}
+	return others, nil
+}
+
+// splitKey returns the pool and the hash of the queue's address in the key of a record.
+func splitKey(key string) (pool, hash string, ok bool) {
+	end := strings.LastIndexByte(key, '/')
+	if end < 0 {
+		return "", "", false
+	}
+	return key[:end], key[end+1:], true
+}
+
 func hashOf(address string) string {
 	hash := sha256.Sum256([]byte(address))
 	return hex.EncodeToString(hash[:])[:keyHashLen]
@@ -160,12 +249,12 @@
 	}
 	idx.loadedAt = now
 	for _, rec := range recs {
-		end := strings.LastIndexByte(rec.Key, '/')
-		if end < 0 {
+		pool, hash, ok := splitKey(rec.Key)
+		if !ok {
 			idx.cfg.Journal.Warn(now, "recordUnreadable", slog.String("key", rec.Key), slog.String("error", "the key names no pool"))
 			continue
 		}
-		idx.add(rec.Key[end+1:], rec.Key[:end])
+		idx.add(hash, pool)
 	}
 	return nil
 }
--- a/internal/schedule/poolindex/poolindex_test.go
+++ b/internal/schedule/poolindex/poolindex_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -135,3 +136,37 @@
 		t.Errorf("pools %v (%v), want the one in the key", pools, err)
 	}
 }
+
+// Of two pools that register a queue, at least one finds the other, also one that an earlier version of the program has
+// recorded without its version. A registration that an earlier owner of the pool has sent and that arrives late does
+// not replace that of the present one.
+func TestRegistrationsFindEachOther(t *testing.T) {
+	const address = "h/p/"
+	log := logstore.New(logstore.Config{}).Client()
+	register := func(pool string, epoch, seq, since int64, want map[string]int64) {
+		t.Helper()
+		others, err := newIndex(log).Register(t.Context(), poolindex.Registration{Pool: pool, Epoch: epoch, Seq: seq, Since: map[string]int64{address: since}})
+		if err != nil || !maps.Equal(others[address], want) {
+			t.Errorf("the pool %s finds %v (%v), want %v", pool, others[address], err, want)
+		}
+	}
+	if err := newIndex(log).Record(t.Context(), address, "old"); err != nil {
+		t.Fatal(err)
+	}
+	register("gate", 1, 1, 3, map[string]int64{"old": 0})
+	register("mill", 2, 1, 5, map[string]int64{"old": 0, "gate": 3})
+	register("gate", 3, 1, 7, map[string]int64{"old": 0, "mill": 5})
+	late := poolindex.Registration{Pool: "gate", Epoch: 1, Seq: 2, Since: map[string]int64{address: 3}}
+	if _, err := newIndex(log).Register(t.Context(), late); !errors.Is(err, statelog.ErrFenced) {
+		t.Errorf("registration by an earlier owner: %v, want fenced", err)
+	}
+	if err := newIndex(log).Record(t.Context(), address, "gate"); err != nil { // by a pool that hands jobs over
+		t.Fatal(err)
+	}
+	register("mill", 2, 2, 5, map[string]int64{"old": 0, "gate": 7})
+	pools, err := newIndex(log).Pools(t.Context(), start, address, start)
+	slices.Sort(pools)
+	if err != nil || !slices.Equal(pools, []string{"gate", "mill", "old"}) {
+		t.Errorf("pools %v (%v)", pools, err)
+	}
+}
--- a/internal/schedule/service/reroute_test.go
+++ b/internal/schedule/service/reroute_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -62,13 +64,14 @@
 	}
 }
 
+// numberOf returns the number of an entry.
+func (ste *site) numberOf(svc *service.Service) int32 {
+	return int32(slices.Index(ste.entries, svc))
+}
+
 // setLate sets whether an entry's long polls for configurations get no answer.
 func (ste *site) setLate(late *service.Service) {
-	for num, svc := range ste.entries {
-		if svc == late {
-			ste.late.Store(int32(num))
-		}
-	}
+	ste.late.Store(ste.numberOf(late))
 	time.Sleep(50 * time.Millisecond) // long polls that are open notice it within 5 ms
 }
 
@@ -244,3 +247,58 @@
 	ste.stop()
 	ste.checkInvariants()
 }
+
+// Guards against a job that runs twice: its queue went to another pool, whose first job of it came through an entry
+// that had just started, which knew of no former pool to ask. The owner of the former one, which had not read of the
+// move, accepted the job too.
+func TestFormerOwnerAcceptsNoJobThatAFreshEntryHasSubmitted(t *testing.T) {
+	ste, gate, mill, _ := startRerouting(t)
+	ste.settle()
+	ste.setLate(gate)
+	first := ste.queueAt(passes)
+	ste.putTable(2, rerouted(passes))
+	ste.awaitTableAt(mill)
+	ste.submit(ste.startEntry(entryMilliCores), oneTask())
+	ste.checkRepetition(gate, first, 1)
+}
+
+// checkRepetition submits the job again at an entry, by an earlier route, and checks how many tasks have started.
+func (ste *site) checkRepetition(svc *service.Service, route queue.Queue, starts int) {
+	ste.t.Helper()
+	ste.submitBy(route, svc, oneTask())
+	ste.await(svc, oneTask().ID)
+	time.Sleep(500 * time.Millisecond)
+	if got := ste.fleet.Starts(); got != starts {
+		ste.t.Errorf("%d starts, want %d", got, starts)
+	}
+	ste.late.Store(noEntry)
+	ste.hidden.Store(noEntry)
+	ste.stop()
+	ste.checkInvariants()
+}
+
+// The owner of the former pool can be reached by callers and the log, but by no other entry. It is not waited for, but
+// it accepts nothing by the earlier route, whether it had jobs of the queue before or not.
+func TestFormerOwnerOutOfReachAcceptsNoJob(t *testing.T) {
+	for _, hadJobs := range []bool{false, true} {
+		t.Run(fmt.Sprintf("had jobs %t", hadJobs), func(t *testing.T) {
+			t.Parallel()
+			ste, gate, mill, other := startRerouting(t)
+			ste.hidden.Store(ste.numberOf(gate)) // before anyone has read its address
+			starts := 1
+			if hadJobs {
+				earlier := oneTask()
+				earlier.ID = job(2).ID
+				ste.submit(gate, earlier)
+				starts++
+			}
+			ste.setLate(gate)
+			first := ste.queueAt(passes)
+			ste.putTable(2, rerouted(passes))
+			ste.awaitTableAt(mill)
+			ste.awaitTableAt(other)
+			ste.submit(other, oneTask())
+			ste.checkRepetition(gate, first, starts)
+		})
+	}
+}
--- a/internal/schedule/service/service_test.go
+++ b/internal/schedule/service/service_test.go
@@ -1,6 +1,7 @@
 package service_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -49,6 +50,7 @@
 	tables    tableLog
 	refused   atomic.Int32 // entry whose reads of configurations are refused, or noEntry
 	late      atomic.Int32 // entry whose long polls for configurations get no answer, or noEntry
+	hidden    atomic.Int32 // entry that the others read a wrong address of, so that they can't reach it, or noEntry
 	off       atomic.Bool  // the VMs of pool are off
 	paged     atomic.Bool  // the list of VMs comes in pages: by the first, vm-0 is not draining, by the last it is
 	odd       atomic.Bool  // the announcement of vm-0 and one that names no VM can't be read
@@ -78,6 +80,7 @@
 	ste.cut.Store(noEntry)
 	ste.late.Store(noEntry)
 	ste.refused.Store(noEntry)
+	ste.hidden.Store(noEntry)
 	ste.putTable(1, passes)
 	for range entries {
 		ste.startEntry(entryMilliCores)
@@ -130,7 +133,11 @@
 		if ste.down.Load() {
 			return statelog.Record{}, false, statelog.ErrNotAppended
 		}
-		return lookup(ctx, topic, part, key)
+		rec, ok, err := lookup(ctx, topic, part, key)
+		if hidden := ste.hidden.Load(); topic == "cells" && hidden != noEntry && hidden != int32(entry) {
+			rec.Value = bytes.ReplaceAll(rec.Value, []byte(ste.addresses[hidden]), []byte("127.0.0.1:2"))
+		}
+		return rec, ok, err
 	}
 	log.Newest = func(ctx context.Context, topic string, part int) ([]statelog.Record, int64, error) {
 		if ste.down.Load() {
@@ -299,7 +306,12 @@
 
 func (ste *site) submitTo(que queue.Queue, through *service.Service, pln *plan.Plan) {
 	ste.t.Helper()
-	que = ste.queueAt(que)
+	ste.submitBy(ste.queueAt(que), through, pln)
+}
+
+// submitBy is submitTo by a route that the configuration may not have any more.
+func (ste *site) submitBy(que queue.Queue, through *service.Service, pln *plan.Plan) {
+	ste.t.Helper()
 	for limit := time.Now().Add(testTimeout); ; {
 		ctx, cancel := context.WithTimeout(ste.t.Context(), 3*time.Second)
 		err := through.Gateway().Submit(ctx, time.Now(), que, pln)
