Wait for jobs that are being stored before another pool looks them up

What callers would see: a job that was answered with 2xx is lost.

Cause: the former pool of a queue said of a submission that waits to be stored that it has the job. The repetition at the present pool was answered with 2xx for it. If the former pool could not store the job, it was in neither.

Change: an owner that is asked to leave a route first waits, 0.5 s at most, until the outcome of the queue's submissions is known. The asker looks up in the log afterwards.

Measured: TestJobThatIsBeingStoredIsNotTakenForAccepted: found before, want not found.

--- a/internal/schedule/owner/route.go
+++ b/internal/schedule/owner/route.go
@@ -27,6 +27,9 @@
 	// openRouteWait bounds the wait of a submission for its route, so that its sender gets the refusal before
 	// the call times out, after 0.9 s.
 	openRouteWait = 700 * time.Millisecond
+	// leaveWait bounds the wait for submissions that are being stored, so that the other owner gets the answer before
+	// its call times out, after 0.9 s.
+	leaveWait = 500 * time.Millisecond
 	// closeTimeout bounds one attempt to close another pool's route: longer than it takes to replace an owner.
 	closeTimeout = 5 * time.Second
 	// repeatTime is how long after its route was opened callers may repeat submissions that another pool has
@@ -285,7 +288,8 @@
 }
 
 // LeaveRoute returns once this owner accepts no jobs of the queue by a route from before the version of the
-// configuration, and none that it has accepted by one is being stored any more.
+// configuration, and the outcome of those that it was storing is known. It fails with code OutcomeUnknown if that
+// takes longer than leaveWait.
 func (own *Owner) LeaveRoute(ctx context.Context, address string, version int64) error {
 	if err := own.AwaitVersion(ctx, version); err != nil {
 		return err
@@ -294,6 +298,23 @@
 	if rt := own.routes[address]; rt != nil && rt.since < version {
 		delete(own.routes, address)
 	}
+	var subs []*submission
+	for _, sub := range own.pending {
+		if sub.job.Address == address {
+			subs = append(subs, sub)
+		}
+	}
 	own.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, leaveWait)
+	defer cancel()
+	for _, sub := range subs {
+		select {
+		case <-sub.resolved:
+		case <-own.quit:
+			return fault.New(code.NotReady, "the pool changes its owner")
+		case <-ctx.Done():
+			return fault.New(code.OutcomeUnknown, "job %s is being stored", sub.job.Plan.ID)
+		}
+	}
 	return nil
 }
--- a/internal/schedule/owner/route_test.go
+++ b/internal/schedule/owner/route_test.go
@@ -86,6 +86,39 @@
 	})
 }
 
+// Guards against a job that is lost: its submission waited to be stored in the former pool of its queue, the owner of
+// the present pool took it for accepted and said so, and the former pool could not store it.
+func TestJobThatIsBeingStoredIsNotTakenForAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}).Client()
+		add := log.Append
+		log.Append = func(ctx context.Context, app statelog.AppendRequest) (int64, error) {
+			if app.Topic != "jobs" || len(app.Records) == 0 {
+				return add(ctx, app)
+			}
+			time.Sleep(150 * time.Millisecond)
+			return 0, statelog.ErrNotAppended
+		}
+		first := routed(1, "gate")
+		ref := first.Queues()[0].Ref()
+		own := openRouted(t, log, "gate", first, owner.Config{})
+		refused := make(chan error, 1)
+		go func() { refused <- own.Submit(t.Context(), time.Now(), job(1, 1), ref) }()
+		time.Sleep(100 * time.Millisecond)
+		own.SetTable(routed(2, "mill"))
+		if err := own.LeaveRoute(t.Context(), ref.Address, 2); err != nil {
+			t.Errorf("the owner does not leave the route: %v", err)
+		}
+		ref.Version = 0
+		if _, found, err := own.State(ref, job(1, 1).ID); found || err != nil {
+			t.Errorf("the owner of the present pool gets: found %t (%v)", found, err)
+		}
+		if err := <-refused; err == nil {
+			t.Error("the job was accepted without being stored")
+		}
+	})
+}
+
 // A route is proved once a term, not with each job: the log is read twice at most, however many jobs come.
 func TestOpenRouteCostsNoReads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
