--- a/internal/schedule/owner/route.go
+++ b/internal/schedule/owner/route.go
@@ -236,6 +236,7 @@
 		case rt.supersededBy > 0:
 			close(rt.settled)
 		case len(rt.others) == 0 || own.cfg.CloseRoute == nil:
+			rt.others = nil
 			own.setOpen(now, rt)
 		default:
 			own.loops.Go(func() { own.closeOthers(rt) })
--- a/internal/schedule/owner/route_test.go
+++ b/internal/schedule/owner/route_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -172,3 +173,30 @@
 		}
 	})
 }
+
+// A job that moves on from one former pool to another while it is looked up is found, as the pools are asked in the order
+// in which they had the queue.
+func TestFormerPoolsAreAskedInTheirOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logstore.New(logstore.Config{Latency: 4 * time.Millisecond}).Client()
+		for since, name := range []string{"west", "south", "east"} {
+			tab := routed(int64(since+1), name)
+			own := openRouted(t, log, name, tab, owner.Config{})
+			if err := own.Submit(t.Context(), time.Now(), job(since+1, 1), tab.Queues()[0].Ref()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var asked []string
+		tab := routed(9, "gate")
+		own := openRouted(t, log, "gate", tab, owner.Config{
+			CloseRoute: func(context.Context, string, queue.Ref, int64) error { return nil },
+			IsInPool: func(_ context.Context, pool string, _ queue.Ref, _ string) (bool, error) {
+				asked = append(asked, pool)
+				return false, nil
+			},
+		})
+		if err := own.Submit(t.Context(), time.Now(), job(9, 1), tab.Queues()[0].Ref()); err != nil || !slices.Equal(asked, []string{"west", "south", "east"}) {
+			t.Errorf("%v, asked %v, want west, south and east", err, asked)
+		}
+	})
+}
--- a/internal/schedule/service/reroute_test.go
+++ b/internal/schedule/service/reroute_test.go
@@ -302,3 +302,23 @@
 		})
 	}
 }
+
+// The owner of a queue's former pool has not read of the move, but reads it when it is asked: its term goes on.
+func TestFormerOwnerThatAnswersKeepsItsTerm(t *testing.T) {
+	ste, gate, mill, other := startRerouting(t)
+	earlier := oneTask()
+	earlier.ID = job(2).ID
+	ste.submit(gate, earlier)
+	token := gate.Owner(pool).FencingToken()
+	ste.setLate(gate)
+	first := ste.queueAt(passes)
+	ste.putTable(2, rerouted(passes))
+	ste.awaitTableAt(mill)
+	ste.awaitTableAt(other)
+	ste.submit(other, oneTask())
+	time.Sleep(1500 * time.Millisecond) // a check of the claim, and some
+	if own := gate.Owner(pool); own == nil || own.FencingToken() != token {
+		t.Error("the term of the former pool's owner has ended")
+	}
+	ste.checkRepetition(gate, first, 2)
+}
