--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -58,6 +58,8 @@
 	// repeatTime is how long after a change of a queue's pool callers may repeat submissions
 	// that the former one has accepted.
 	repeatTime = time.Minute
+	// maxIndexAge is how old the index of pools may be for a count of waiting jobs, which may be 2 s old.
+	maxIndexAge = 1900 * time.Millisecond
 	// lagLimit is how long after a change of a queue's pool the owner of the former one may go by an
 	// earlier configuration, if it can't be asked: longer than it takes to replace an owner, and than a
 	// connected entry takes to read a configuration.
--- a/internal/schedule/gateway/route.go
+++ b/internal/schedule/gateway/route.go
@@ -13,9 +13,12 @@
 )
 
 // byRoute makes a request about a job by the queue's route, and again if that may not have been the present one when
-// the request came: an owner says that the queue has been rerouted since, or no job is found.
+// the request came: an owner says that the queue has been rerouted since, or no job is found. That no pool has the job is
+// said only by an index of pools that was read after the request came, too.
 func (gtw *Gateway) byRoute(ctx context.Context, now time.Time, que queue.Queue, id string, send func(que queue.Queue) (reply, error)) (reply, error) {
+	came := now
 	for {
+		asked := gtw.cfg.PoolIndex.Known(que.Address())
 		rep, err := send(que)
 		isStale := fault.CodeOf(err) == code.StaleRoute
 		isUnknown := err == nil && !rep.IsFound
@@ -30,6 +33,14 @@
 				return reply{}, fault.Wrap(err, code.LogUnavailable, "route of the queue %s", que.Name)
 			}
 		}
+		if isUnknown {
+			if err := gtw.refreshPools(ctx, came); err != nil {
+				return reply{}, fault.Wrap(err, code.LogUnavailable, "pools of the queue %s", que.Name)
+			}
+			if len(gtw.cfg.PoolIndex.Known(que.Address())) > len(asked) && ctx.Err() == nil {
+				continue
+			}
+		}
 		next, ok := gtw.presentRoute(que)
 		isNewer := isStale && next.Version > que.Version || next.IsRerouted(que.Ref())
 		if !ok || !isNewer || ctx.Err() != nil {
@@ -51,6 +62,13 @@
 	return gtw.cfg.CatchUp(ctx, now)
 }
 
+// refreshPools returns once the index of pools has been read since the given time.
+func (gtw *Gateway) refreshPools(ctx context.Context, since time.Time) error {
+	ctx, cancel := gtw.limitIfCutOff(ctx)
+	defer cancel()
+	return gtw.cfg.PoolIndex.Refresh(ctx, time.Now(), since)
+}
+
 // presentRoute returns the queue as the configuration in force has it.
 func (gtw *Gateway) presentRoute(que queue.Queue) (queue.Queue, bool) {
 	gtw.mu.Lock()
@@ -121,9 +139,13 @@
 	return slices.DeleteFunc(pools, func(pool string) bool { return pool == que.Pool }), err
 }
 
-// allPools returns the queue's pool and its former ones.
+// allPools returns the queue's pool and its former ones, as of maxIndexAge ago at most.
 func (gtw *Gateway) allPools(ctx context.Context, que queue.Queue) ([]string, error) {
-	pools, err := gtw.formerPools(ctx, time.Now(), que)
+	now := time.Now()
+	if err := gtw.refreshPools(ctx, now.Add(-maxIndexAge)); err != nil {
+		return nil, fault.Wrap(err, code.LogUnavailable, "pools of the queue %s", que.Name)
+	}
+	pools, err := gtw.formerPools(ctx, now, que)
 	return append([]string{que.Pool}, pools...), err
 }
 
--- a/internal/schedule/poolindex/poolindex.go
+++ b/internal/schedule/poolindex/poolindex.go
@@ -213,6 +213,13 @@
 	return idx.refresh(ctx, now, since)
 }
 
+// Known returns the pools that have accepted jobs of the queue at the address, as far as they have been read.
+func (idx *Index) Known(address string) []string {
+	idx.mu.Lock()
+	defer idx.mu.Unlock()
+	return slices.Clone(idx.pools[hashOf(address)])
+}
+
 // PoolNames returns the pools that have accepted jobs, as far as they have been read.
 func (idx *Index) PoolNames() []string {
 	idx.mu.Lock()
