Ask former owners of earlier versions, which register no routes

What callers would see during a rolling update: a job ran twice.

Cause: the sender no longer asks if the owner registers routes, and the former owner, which registers none and had accepted no job, was in no index.

Change: claims say that their owner registers routes. An owner that opens a route asks the pools too that the queue lately had by the configurations that its entry has read, unless their claims say so.

Measured: TestPoolsWithoutRegistrationAreAsked and TestUnregisteredPoolsAreOfEarlierVersions do not compile before.

--- a/internal/schedule/claim/claim.go
+++ b/internal/schedule/claim/claim.go
@@ -29,6 +29,8 @@
 type claimJSON struct {
 	Address string `json:"address"`
 	Term    int    `json:"term"`
+	// RegistersRoutes is set by owners that register routes before they accept jobs (poolindex.Index.Register).
+	RegistersRoutes bool `json:"registersRoutes,omitempty"`
 }
 
 // Claim is a claim that was stored successfully.
@@ -51,21 +53,21 @@
 // the topic not having changed since the last claim was read, so terms and tokens
 // only increase.
 func Acquire(ctx context.Context, log statelog.Client, name, address string) (Claim, error) {
-	return acquire(ctx, log, name, func(string) string { return address })
+	return acquire(ctx, log, name, func(claimJSON) claimJSON { return claimJSON{Address: address, RegistersRoutes: true} })
 }
 
-// Supersede stores a claim of name that ends the present term, for an owner that can't be asked. It has the address of
-// the last claim, but nobody acts by it; the next owner claims again.
+// Supersede stores a claim of name that ends the present term, for an owner that can't be asked. It has the content
+// of the last claim, but nobody acts by it; the next owner claims again.
 func Supersede(ctx context.Context, log statelog.Client, name string) (Claim, error) {
-	return acquire(ctx, log, name, func(last string) string { return last })
+	return acquire(ctx, log, name, func(last claimJSON) claimJSON { return last })
 }
 
-// acquire stores a claim with the address that the function returns for that of the last claim.
-func acquire(ctx context.Context, log statelog.Client, name string, address func(last string) string) (Claim, error) {
+// acquire stores a claim of the next term, with what the function returns for the last claim.
+func acquire(ctx context.Context, log statelog.Client, name string, follow func(last claimJSON) claimJSON) (Claim, error) {
 	var err error
 	for range maxAttempts {
 		var clm Claim
-		clm, err = acquireOnce(ctx, log, name, address)
+		clm, err = acquireOnce(ctx, log, name, follow)
 		if err == nil {
 			return clm, nil
 		}
@@ -76,7 +78,7 @@
 	return Claim{}, errors.Wrapf(err, "claim %s", name)
 }
 
-func acquireOnce(ctx context.Context, log statelog.Client, name string, address func(last string) string) (Claim, error) {
+func acquireOnce(ctx context.Context, log statelog.Client, name string, follow func(last claimJSON) claimJSON) (Claim, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	recs, end, err := log.Newest(ctx, topic, 0)
@@ -92,7 +94,8 @@
 			return Claim{}, errors.Wrap(err, "decode last claim")
 		}
 	}
-	next := claimJSON{Address: address(last.Address), Term: last.Term + 1}
+	next := follow(last)
+	next.Term = last.Term + 1
 	data, err := json.Marshal(next)
 	if err != nil {
 		return Claim{}, errors.Wrap(err, "encode claim")
@@ -106,17 +109,27 @@
 
 // FindOwner returns the address in the newest claim of name, or "" when there is none.
 func FindOwner(ctx context.Context, log statelog.Client, name string) (string, error) {
+	newest, err := lookup(ctx, log, name)
+	return newest.Address, err
+}
+
+// RegistersRoutes reports whether the newest claim of name is of an owner that registers routes. One of an earlier
+// version of the program does not.
+func RegistersRoutes(ctx context.Context, log statelog.Client, name string) (bool, error) {
+	newest, err := lookup(ctx, log, name)
+	return newest.RegistersRoutes, err
+}
+
+// lookup returns the newest claim of name, an empty one when there is none.
+func lookup(ctx context.Context, log statelog.Client, name string) (newest claimJSON, err error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout/2)
 	defer cancel()
 	rec, ok, err := log.Lookup(ctx, topic, 0, name)
 	if err != nil || !ok {
-		return "", err
-	}
-	var newest claimJSON
-	if err := json.Unmarshal(rec.Value, &newest); err != nil {
-		return "", errors.Wrapf(err, "decode claim of %s", name)
+		return claimJSON{}, err
 	}
-	return newest.Address, nil
+	err = json.Unmarshal(rec.Value, &newest)
+	return newest, errors.Wrapf(err, "decode claim of %s", name)
 }
 
 // Tokens returns the fencing tokens of the newest claims by name.
--- a/internal/schedule/gateway/closeroute.go
+++ b/internal/schedule/gateway/closeroute.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -67,6 +69,20 @@
 	return found, err
 }
 
+// UnregisteredPools returns the pools that lately had the queue, by the configurations that this entry has read, and
+// whose owners run an earlier version of the program, which registers no routes.
+func (gtw *Gateway) UnregisteredPools(ctx context.Context, address string) (pools []string) {
+	gtw.mu.Lock()
+	left := slices.Sorted(maps.Keys(gtw.leftAt[address]))
+	gtw.mu.Unlock()
+	for _, pool := range left {
+		if isRegistering, err := claim.RegistersRoutes(ctx, gtw.cfg.StateLog, pool); err != nil || !isRegistering {
+			pools = append(pools, pool)
+		}
+	}
+	return pools
+}
+
 // submit sends a submission to the owner of the queue's pool. One of an earlier version of the program leaves it to the
 // sender to make sure that no other pool of the queue has the job, or accepts it.
 func (gtw *Gateway) submit(ctx context.Context, now time.Time, que queue.Queue, id string, req request, local func(*owner.Owner) (reply, error)) (reply, error) {
--- a/internal/schedule/gateway/closeroute_test.go
+++ b/internal/schedule/gateway/closeroute_test.go
@@ -1,8 +1,10 @@
 package gateway_test
 
 import (
+	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -43,3 +45,35 @@
 		t.Errorf("term %d (%v), want 3: the former owner's, the end of its term, and the next", next.Term(), err)
 	}
 }
+
+// Of the pools that lately had a queue, those have to be asked whose owners register no routes. Their claims, as those of
+// earlier versions of the program, lack a field.
+func TestUnregisteredPoolsAreOfEarlierVersions(t *testing.T) {
+	t.Parallel()
+	log := logstore.New(logstore.Config{}).Client()
+	if _, err := claim.Acquire(t.Context(), log, "new", "127.0.0.1:2"); err != nil {
+		t.Fatal(err)
+	}
+	_, err := log.Append(t.Context(), statelog.AppendRequest{
+		Topic: "cells", ExpectedEnd: statelog.AnyOffset, Records: []statelog.Record{{Key: "old", Value: []byte(`{"address":"127.0.0.1:3","term":4}`)}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	gtw := newGateway(t, log, func() bool { return true })
+	var last *queue.Table
+	for version, pool := range []string{"old", "new", "gate"} {
+		tab := queue.NewTable(int64(version+1), []queue.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: pool}}, nil).After(last)
+		gtw.SetTable(time.Now(), tab)
+		last = tab
+	}
+	if pools := gtw.UnregisteredPools(t.Context(), "h/q/"); !slices.Equal(pools, []string{"old"}) {
+		t.Errorf("pools %v, want old", pools)
+	}
+	if next, err := claim.Acquire(t.Context(), log, "old", "127.0.0.1:4"); err != nil || next.Term() != 5 {
+		t.Errorf("term %d (%v) after a claim of an earlier version, want 5", next.Term(), err)
+	}
+	if pools := gtw.UnregisteredPools(t.Context(), "h/q/"); len(pools) > 0 {
+		t.Errorf("pools %v after a claim of the present version, want none", pools)
+	}
+}
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -66,10 +66,12 @@
 	// is nil, jobs stay in the pool.
 	HandOver func(ctx context.Context, hnd jobrecord.Handover) error
 	// CloseRoute returns once no owner of the other pool accepts jobs of the queue by a route from before the version
-	// of the configuration. IsInPool reports whether another pool, whose route is closed, has the job stored. If they
+	// of the configuration. IsInPool reports whether another pool, whose route is closed, has the job stored.
+	// UnregisteredPools returns pools that may have had the queue at the address without registering that. If they
 	// are nil, other pools are left out of account.
-	CloseRoute func(ctx context.Context, pool string, que queue.Ref, version int64) error
-	IsInPool   func(ctx context.Context, pool string, que queue.Ref, id string) (bool, error)
+	CloseRoute        func(ctx context.Context, pool string, que queue.Ref, version int64) error
+	IsInPool          func(ctx context.Context, pool string, que queue.Ref, id string) (bool, error)
+	UnregisteredPools func(ctx context.Context, address string) []string
 	// ReadVersion returns once the owner has got the version of the configuration, or a later one. If it is nil, the
 	// configuration does not change.
 	ReadVersion func(ctx context.Context, version int64) error
--- a/internal/schedule/owner/route.go
+++ b/internal/schedule/owner/route.go
@@ -196,6 +196,9 @@
 		ctx, cancel := context.WithTimeout(context.Background(), wait)
 		sent := own.cfg.Now()
 		others, err := own.cfg.PoolIndex.Register(ctx, reg)
+		if err == nil {
+			own.addUnregistered(ctx, others)
+		}
 		cancel()
 		now := own.cfg.Now()
 		own.trackLog(now, sent, err)
@@ -213,6 +216,21 @@
 	}
 }
 
+// addUnregistered adds the pools that may have had the queues without registering that, to those by address, with the
+// version 0.
+func (own *Owner) addUnregistered(ctx context.Context, others map[string]map[string]int64) {
+	if own.cfg.UnregisteredPools == nil {
+		return
+	}
+	for address, versions := range others {
+		for _, pool := range own.cfg.UnregisteredPools(ctx, address) {
+			if _, ok := versions[pool]; !ok && pool != own.cfg.Pool {
+				versions[pool] = 0
+			}
+		}
+	}
+}
+
 // setOthers notes which other pools have, or have had, the queues of the routes.
 func (own *Owner) setOthers(now time.Time, rts []*route, others map[string]map[string]int64) {
 	own.mu.Lock()
--- a/internal/schedule/owner/route_test.go
+++ b/internal/schedule/owner/route_test.go
@@ -200,3 +200,38 @@
 		}
 	})
 }
+
+// An owner of an earlier version of the program has registered no route. The pool is asked all the same if this entry
+// has read that it lately had the queue.
+func TestPoolsWithoutRegistrationAreAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var asked []string
+		tab := routed(2, "gate")
+		own := openRouted(t, logstore.New(logstore.Config{Latency: 4 * time.Millisecond}).Client(), "gate", tab, owner.Config{
+			UnregisteredPools: func(_ context.Context, address string) []string {
+				if address != "h/r/" {
+					t.Errorf("asked for pools of %s", address)
+				}
+				return []string{"gate", "mill"}
+			},
+			CloseRoute: func(_ context.Context, pool string, _ queue.Ref, _ int64) error {
+				asked = append(asked, pool)
+				return nil
+			},
+			IsInPool: func(_ context.Context, _ string, _ queue.Ref, id string) (bool, error) {
+				return id == job(1, 1).ID, nil
+			},
+		})
+		for num := range 2 {
+			if err := own.Submit(t.Context(), time.Now(), job(num+1, 1), tab.Queues()[0].Ref()); err != nil {
+				t.Fatal(err)
+			}
+			if _, found, err := own.State(tab.Queues()[0].Ref(), job(num+1, 1).ID); found != (num == 1) || err != nil {
+				t.Errorf("job %d: stored here %t (%v)", num+1, found, err)
+			}
+		}
+		if !slices.Equal(asked, []string{"mill"}) {
+			t.Errorf("asked %v, want mill once", asked)
+		}
+	})
+}
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -459,7 +459,7 @@
 		Pool: pool, Partition: group.PartitionOf(pool, svc.cfg.Partitions), Address: svc.cfg.PeerAddress, MaxLease: min(svc.cfg.MaxLease, leaseDuration), LongestLease: svc.cfg.MaxLease,
 		StatusRetention: svc.cfg.StatusRetention, MaxRecord: svc.cfg.MaxRecord, StateLog: svc.cfg.StateLog, PoolIndex: svc.poolIndex, Runtimes: runtimestore.New(runtimestore.Config{StateLog: svc.cfg.StateLog, Journal: svc.cfg.Journal}), Agent: svc.cfg.Agent, Journal: svc.cfg.Journal,
 		Metrics: svc.cfg.Metrics, Table: tab, RequestReport: svc.requestReport, RequestQuotaReport: svc.requestQuotaReport, HandOver: svc.gateway.HandOver,
-		CloseRoute: svc.gateway.CloseRoute, IsInPool: svc.gateway.IsInPool, ReadVersion: svc.gateway.ReadVersion,
+		CloseRoute: svc.gateway.CloseRoute, IsInPool: svc.gateway.IsInPool, UnregisteredPools: svc.gateway.UnregisteredPools, ReadVersion: svc.gateway.ReadVersion,
 	})
 	if err == nil {
 		// From here on another pool may have taken over queues by a configuration that is stored but not
