Start a site of the stand-ins once every entry serves by its VMs

Cause: site.Start waited until one entry listed the VMs. Another one could be behind in the log. The first requests there found no VMs; and an entry that was cut off from everything right after the start never learned of any.

--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -28,6 +28,7 @@
 	"daisywheel/internal/standin/logservice"
 	"daisywheel/internal/standin/simvm"
 	"daisywheel/internal/standin/vmlist"
+	"daisywheel/internal/state/fleet"
 )
 
 // Settings of every site.
@@ -280,17 +281,45 @@
 	return nil
 }
 
+// awaitVMs waits until every entry serves by all VMs. Each reads the log by itself, and one that is behind refuses requests
+// as if its zone had no VMs.
 func (ste *Site) awaitVMs(count int) error {
 	deadline := time.Now().Add(readyTimeout)
 	for time.Now().Before(deadline) {
-		var vms wire.VMs
-		err := ste.Client().Get(context.Background(), "/v1/vms", &vms)
-		if err == nil && len(vms.VMs) == count {
+		behind := 0
+		for _, prc := range ste.Entries() {
+			if !servesBy(prc.Node(), count) {
+				behind++
+			}
+		}
+		if behind == 0 {
 			return nil
 		}
 		time.Sleep(readyInterval)
 	}
-	return errors.Newf("the VMs were not listed after %s", readyTimeout)
+	return errors.Newf("the VMs were not in service at every entry after %s", readyTimeout)
+}
+
+// servesBy reports whether the entry knows so many VMs and has opened its shares of those of its zone.
+func servesBy(nod *node.Node, count int) bool {
+	known, slots := 0, map[string]int{} // slots by pool
+	nod.Replica().View(func(flt *fleet.Fleet) {
+		set := nod.Settings()
+		for _, zone := range flt.Zones() {
+			for _, vm := range flt.VMsIn(zone) {
+				known++
+				if mbr, ok := flt.Member(vm); ok && zone == set.Zone {
+					slots[mbr.Pool()] += flt.Share(set.Name, vm, node.SlotsPerVM)
+				}
+			}
+		}
+	})
+	for pool, want := range slots {
+		if want == 0 || nod.Dispatcher().Stats(pool).Slots != want {
+			return false
+		}
+	}
+	return known == count
 }
 
 // serviceTime returns a random time of 0.5 to 1.5 times the plan's service time.
