--- a/internal/schedule/owner/route_test.go
+++ b/internal/schedule/owner/route_test.go
@@ -235,3 +235,29 @@
 		}
 	})
 }
+
+// A queue that the owner's configuration has no longer is accepted by its sender's route, until another pool that had it
+// by a later one says so. Then the route has to be opened again, which finds that pool.
+func TestRouteOfARemovedQueueIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := logstore.New(logstore.Config{Latency: 4 * time.Millisecond})
+		first, second := routed(1, "gate"), routed(2, "mill")
+		ref := first.Queues()[0].Ref()
+		gate := openRouted(t, store.Client(), "gate", queue.NewTable(3, nil, []queue.Pool{{Name: "gate"}, {Name: "mill"}}), owner.Config{})
+		if err := gate.Submit(t.Context(), time.Now(), job(1, 1), ref); err != nil {
+			t.Fatal(err)
+		}
+		mill := openRouted(t, store.Client(), "mill", second, owner.Config{
+			CloseRoute: func(ctx context.Context, _ string, que queue.Ref, version int64) error {
+				return gate.LeaveRoute(ctx, que.Address, version)
+			},
+			IsInPool: func(context.Context, string, queue.Ref, string) (bool, error) { return false, nil },
+		})
+		if err := mill.Submit(t.Context(), time.Now(), job(2, 1), second.Queues()[0].Ref()); err != nil {
+			t.Fatal(err)
+		}
+		if err := gate.Submit(t.Context(), time.Now(), job(3, 1), ref); fault.CodeOf(err) != code.StaleRoute {
+			t.Errorf("job of a queue that another pool had later: %v, want staleRoute", err)
+		}
+	})
+}
