Let an owner that stops close no more routes, and expect no owner without a claim

An owner that is closed while it waits for another pool's owner no longer ends that owner's term, nor does the wait hold up its end. A pool that was never claimed has no owner of an earlier version to ask. Both found by reading.

--- a/internal/schedule/claim/claim.go
+++ b/internal/schedule/claim/claim.go
@@ -113,11 +113,11 @@
 	return newest.Address, err
 }
 
-// RegistersRoutes reports whether the newest claim of name is of an owner that registers routes. One of an earlier
-// version of the program does not.
+// RegistersRoutes reports whether the newest claim of name, if there is any, is of an owner that registers routes. One
+// of an earlier version of the program does not.
 func RegistersRoutes(ctx context.Context, log statelog.Client, name string) (bool, error) {
 	newest, err := lookup(ctx, log, name)
-	return newest.RegistersRoutes, err
+	return newest.RegistersRoutes || newest.Term == 0, err
 }
 
 // lookup returns the newest claim of name, an empty one when there is none.
--- a/internal/schedule/gateway/closeroute.go
+++ b/internal/schedule/gateway/closeroute.go
@@ -30,6 +30,9 @@
 		if err == nil {
 			return nil
 		}
+		if ctx.Err() != nil {
+			return err
+		}
 		if askCtx.Err() != nil {
 			return gtw.endTerm(ctx, began, pool, err)
 		}
--- a/internal/schedule/gateway/closeroute_test.go
+++ b/internal/schedule/gateway/closeroute_test.go
@@ -62,7 +62,7 @@
 	}
 	gtw := newGateway(t, log, func() bool { return true })
 	var last *queue.Table
-	for version, pool := range []string{"old", "new", "gate"} {
+	for version, pool := range []string{"old", "unclaimed", "new", "gate"} {
 		tab := queue.NewTable(int64(version+1), []queue.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: pool}}, nil).After(last)
 		gtw.SetTable(time.Now(), tab)
 		last = tab
--- a/internal/schedule/owner/route.go
+++ b/internal/schedule/owner/route.go
@@ -298,6 +298,13 @@
 func (own *Owner) closeOther(rt *route, pool string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
+	go func() {
+		select {
+		case <-own.quit:
+			cancel() // the term may be over because the process stops
+		case <-ctx.Done():
+		}
+	}()
 	err := own.cfg.CloseRoute(ctx, pool, rt.ref, rt.since)
 	if err != nil {
 		own.cfg.Journal.Warn(own.cfg.Now(), "routeNotClosed", slog.String("queue", rt.ref.Name), slog.Int64("since", rt.since),
