Wait for the next owner of a former pool if the present one is of an earlier version

The frozen owner of the former pool was of the earlier version; its term was ended, it woke up, claimed the pool again, could not read the operator's records, and accepted the repetition, as it registers no route.

Change: while the newest claim of the former pool is of an owner that registers no routes, its owners are asked for 5 s, as by the earlier version, before the term is ended.

--- a/internal/schedule/gateway/closeroute.go
+++ b/internal/schedule/gateway/closeroute.go
@@ -18,25 +18,39 @@
 )
 
 // CloseRoute returns once no owner of the pool accepts jobs of the queue by a route from before the version of the
-// configuration. The owner is asked to read the version. If it does not confirm that within reachTimeout, its term is
-// ended in the log, and the next owner finds the later route registered.
+// configuration. The owner is asked to read the version. If none confirms that within reachTimeout, the present term is
+// ended in the log, and the next owner finds the later route registered. One of an earlier version of the program would
+// not, so while the newest claim is of such an owner, the next one is waited for, up to lagLimit.
 func (gtw *Gateway) CloseRoute(ctx context.Context, pool string, que queue.Ref, version int64) error {
 	began := time.Now()
-	askCtx, cancel := context.WithTimeout(ctx, reachTimeout)
+	err := gtw.askToLeave(ctx, reachTimeout, pool, que, version)
+	if err == nil || ctx.Err() != nil {
+		return err
+	}
+	isRegistering, lookupErr := claim.RegistersRoutes(ctx, gtw.cfg.StateLog, pool)
+	if lookupErr != nil {
+		return lookupErr
+	}
+	if !isRegistering {
+		err = gtw.askToLeave(ctx, lagLimit-reachTimeout, pool, que, version)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+	}
+	return gtw.endTerm(ctx, began, pool, err)
+}
+
+// askToLeave asks the pool's owner, and again if that fails or the owner changes, until the time is over.
+func (gtw *Gateway) askToLeave(ctx context.Context, limit time.Duration, pool string, que queue.Ref, version int64) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	req := request{Pool: pool, Queue: que.Name, Address: que.Address, MinVersion: version, Reroutes: true}
 	for {
-		_, err := gtw.call(askCtx, methodState, req, func(own *owner.Owner) (reply, error) { return gtw.stateOf(askCtx, own, req) })
-		if err == nil {
-			return nil
-		}
-		if ctx.Err() != nil {
+		_, err := gtw.call(ctx, methodState, req, func(own *owner.Owner) (reply, error) { return gtw.stateOf(ctx, own, req) })
+		if err == nil || ctx.Err() != nil {
 			return err
 		}
-		if askCtx.Err() != nil {
-			return gtw.endTerm(ctx, began, pool, err)
-		}
-		sleep(askCtx, retryDelay)
+		sleep(ctx, retryDelay)
 	}
 }
 
--- a/internal/schedule/gateway/closeroute_test.go
+++ b/internal/schedule/gateway/closeroute_test.go
@@ -1,6 +1,9 @@
 package gateway_test
 
 import (
+	"context"
+	"encoding/json"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -77,3 +80,33 @@
 		t.Errorf("pools %v after a claim of the present version, want none", pools)
 	}
 }
+
+// The owner of a queue's former pool runs an earlier version of the program and does not answer. The next one, of the same
+// version, would accept jobs by an earlier route if it lags, so it has to answer.
+func TestNextOwnerOfAnEarlierVersionIsAsked(t *testing.T) {
+	t.Parallel()
+	log := logstore.New(logstore.Config{}).Client()
+	ept := startPeerWith(t, log, func(json.RawMessage) (any, error) { return map[string]any{}, nil })
+	ept.Handle("job.state", func(context.Context, json.RawMessage) (any, error) { return map[string]any{}, nil })
+	next, err := claim.FindOwner(t.Context(), log, "gate")
+	if err != nil {
+		t.Fatal(err)
+	}
+	put := func(value string) {
+		_, err := log.Append(t.Context(), statelog.AppendRequest{Topic: "cells", ExpectedEnd: statelog.AnyOffset, Records: []statelog.Record{{Key: "old", Value: []byte(value)}}})
+		if err != nil {
+			t.Error(err)
+		}
+	}
+	put(`{"address":"127.0.0.1:2","term":1}`)
+	time.AfterFunc(2500*time.Millisecond, func() { put(fmt.Sprintf(`{"address":%q,"term":2}`, next)) })
+	watched := log
+	watched.Append = func(ctx context.Context, app statelog.AppendRequest) (int64, error) {
+		t.Errorf("append to %s: the term is ended", app.Topic)
+		return log.Append(ctx, app)
+	}
+	gtw := newGateway(t, watched, func() bool { return true })
+	if err := gtw.CloseRoute(t.Context(), "old", queue.Ref{Name: "q", Address: "h/q/"}, 5); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/schedule/owner/route.go
+++ b/internal/schedule/owner/route.go
@@ -30,8 +30,9 @@
 	// leaveWait bounds the wait for submissions that are being stored, so that the other owner gets the answer before
 	// its call times out, after 0.9 s.
 	leaveWait = 500 * time.Millisecond
-	// closeTimeout bounds one attempt to close another pool's route: longer than it takes to replace an owner.
-	closeTimeout = 5 * time.Second
+	// closeTimeout bounds one attempt to close another pool's route: longer than the 5 s for which an owner of an earlier
+	// version of the program is waited for.
+	closeTimeout = 8 * time.Second
 	// repeatTime is how long after its route was opened callers may repeat submissions that another pool has
 	// accepted before.
 	repeatTime = time.Minute
