Confirm the ownership after a question to leave a route

What callers would see: a job is stored in two pools and runs twice. Found by reading; no play showed it.

Cause: an owner that is asked to leave a route answered by an earlier check of its claim. It may have a successor that it has not noticed, which has read an earlier configuration and accepts jobs already.

Change: the check of the claim begins after the question (Owner.LeaveRoute, confirmSince), which replaces AwaitVersion. A successor that claims later finds the asker's route.

--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -626,7 +626,7 @@
 		if err := gtw.ReadVersion(ctx, req.MinVersion); err != nil {
 			return reply{}, err
 		}
-		if err := own.LeaveRoute(ctx, req.Address, req.MinVersion); err != nil {
+		if err := own.LeaveRoute(ctx, time.Now(), req.Address, req.MinVersion); err != nil {
 			return reply{}, err
 		}
 	}
--- a/internal/schedule/owner/loops.go
+++ b/internal/schedule/owner/loops.go
@@ -143,7 +143,6 @@
 	for own.awaitClaimCheck() {
 		sent := own.cfg.Now()
 		cnf := newConfirmation(sent, own.cfg.SinceBoot())
-		version := own.ConfigVersion()
 		isNewest, err := claim.IsNewest(context.Background(), own.cfg.StateLog, own.cfg.Pool, own.fencingToken)
 		if err == nil && !isNewest {
 			own.loseOwnership(own.cfg.Now(), "a later owner has claimed the pool")
@@ -152,7 +151,6 @@
 		own.mu.Lock()
 		own.endClaimCheck(own.cfg.Now(), cnf, err == nil)
 		if err == nil { // appendLoop and the group membership log an outage
-			own.confirmedVersion = version
 			own.sch.ConfirmOwnership(sent)
 			own.requestPlan()
 		}
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -118,15 +118,12 @@
 	routesRequested     chan struct{}
 	claimCheckRequested chan struct{}
 	confirmed           confirmation
-	// confirmedVersion is the version of the configuration that was in force here at a time when
-	// this owner is known to have owned the pool.
-	confirmedVersion int64
-	quit             chan struct{}
-	lost             chan struct{}
-	closeOnce        sync.Once
-	lostOnce         sync.Once
-	loops            sync.WaitGroup
-	done             chan struct{}
+	quit                chan struct{}
+	lost                chan struct{}
+	closeOnce           sync.Once
+	lostOnce            sync.Once
+	loops               sync.WaitGroup
+	done                chan struct{}
 }
 
 // submission is a job waiting to be stored.
@@ -163,7 +160,6 @@
 		IsFirstTerm: clm.Term() == 1, Event: own.event,
 	})
 	own.sch.SetTable(cfg.Table)
-	own.confirmedVersion = own.configVersion()
 	if err := own.restore(ctx, now); err != nil {
 		return nil, err
 	}
--- a/internal/schedule/owner/route.go
+++ b/internal/schedule/owner/route.go
@@ -315,13 +315,15 @@
 }
 
 // LeaveRoute returns once this owner accepts no jobs of the queue by a route from before the version of the
-// configuration, and the outcome of those that it was storing is known. It fails with code OutcomeUnknown if that
-// takes longer than leaveWait.
-func (own *Owner) LeaveRoute(ctx context.Context, address string, version int64) error {
-	if err := own.AwaitVersion(ctx, version); err != nil {
-		return err
-	}
+// configuration, the outcome of those that it was storing is known, and it is known to have owned the pool after it was
+// asked. A later owner finds the asker's route registered. It fails with code OutcomeUnknown if the outcome takes longer
+// than leaveWait.
+func (own *Owner) LeaveRoute(ctx context.Context, now time.Time, address string, version int64) error {
 	own.mu.Lock()
+	if present := own.configVersion(); present < version {
+		own.mu.Unlock()
+		return fault.New(code.StaleRoute, "the owner has read version %d of the configuration, not yet %d", present, version)
+	}
 	if rt := own.routes[address]; rt != nil && rt.since < version {
 		delete(own.routes, address)
 	}
@@ -343,5 +345,5 @@
 			return fault.New(code.OutcomeUnknown, "job %s is being stored", sub.job.Plan.ID)
 		}
 	}
-	return nil
+	return own.confirmSince(ctx, now)
 }
--- a/internal/schedule/owner/route_test.go
+++ b/internal/schedule/owner/route_test.go
@@ -57,7 +57,7 @@
 					t.Errorf("the pool %s is to leave %s by version %d", pool, que.Address, version)
 				}
 				gate.SetTable(second)
-				return gate.LeaveRoute(ctx, que.Address, version)
+				return gate.LeaveRoute(ctx, time.Now(), que.Address, version)
 			},
 			IsInPool: func(_ context.Context, _ string, _ queue.Ref, id string) (bool, error) {
 				return id == job(1, 1).ID, nil
@@ -107,7 +107,7 @@
 		go func() { refused <- own.Submit(t.Context(), time.Now(), job(1, 1), ref) }()
 		time.Sleep(100 * time.Millisecond)
 		own.SetTable(routed(2, "mill"))
-		if err := own.LeaveRoute(t.Context(), ref.Address, 2); err != nil {
+		if err := own.LeaveRoute(t.Context(), time.Now(), ref.Address, 2); err != nil {
 			t.Errorf("the owner does not leave the route: %v", err)
 		}
 		ref.Version = 0
@@ -249,7 +249,7 @@
 		}
 		mill := openRouted(t, store.Client(), "mill", second, owner.Config{
 			CloseRoute: func(ctx context.Context, _ string, que queue.Ref, version int64) error {
-				return gate.LeaveRoute(ctx, que.Address, version)
+				return gate.LeaveRoute(ctx, time.Now(), que.Address, version)
 			},
 			IsInPool: func(context.Context, string, queue.Ref, string) (bool, error) { return false, nil },
 		})
@@ -261,3 +261,24 @@
 		}
 	})
 }
+
+// Guards against a job that is stored in two pools: a former owner, which has not noticed its successor yet, left the route
+// for it. It had read the later route, and its successor had not, and accepted jobs.
+func TestFormerOwnerDoesNotLeaveARouteForItsSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := logstore.New(logstore.Config{Latency: 4 * time.Millisecond})
+		first := openRouted(t, store.Client(), "gate", routed(2, "mill"), owner.Config{})
+		old := routed(1, "gate")
+		second := openRouted(t, store.Client(), "gate", old, owner.Config{})
+		if err := second.Submit(t.Context(), time.Now(), job(1, 1), old.Queues()[0].Ref()); err != nil {
+			t.Fatal(err)
+		}
+		if err := first.LeaveRoute(t.Context(), time.Now(), "h/r/", 2); err == nil {
+			t.Error("the former owner has left the route, and its successor accepts jobs by it")
+		}
+		second.SetTable(routed(2, "mill"))
+		if err := second.LeaveRoute(t.Context(), time.Now(), "h/r/", 2); err != nil {
+			t.Errorf("the present owner: %v", err)
+		}
+	})
+}
--- a/test/routes/routes_test.go
+++ b/test/routes/routes_test.go
@@ -7,7 +7,9 @@
 	"errors"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -220,7 +222,8 @@
 	return nil
 }
 
-// closeRoute asks the owner of the newest claim, and ends its term if it does not confirm, as the gateway does.
+// closeRoute asks the owner of the newest claim, or at times a former one, and ends the present term if it does not
+// confirm, as the gateway does.
 func (ste *site) closeRoute(ctx context.Context, pool string, que queue.Ref, version int64) error {
 	isOutOfReach := ste.chance(0.3)
 	for limit := time.Now().Add(1350 * time.Millisecond); time.Now().Before(limit); time.Sleep(60 * time.Millisecond) {
@@ -228,10 +231,13 @@
 		ste.mu.Lock()
 		own := ste.owners[address]
 		ste.mu.Unlock()
+		if ste.chance(0.5) {
+			own = ste.former(pool)
+		}
 		if err != nil || own == nil || isOutOfReach || ste.readVersion(own.entry, version) != nil {
 			continue
 		}
-		if own.LeaveRoute(ctx, que.Address, version) == nil {
+		if own.LeaveRoute(ctx, time.Now(), que.Address, version) == nil {
 			return nil
 		}
 	}
@@ -271,6 +277,22 @@
 	return isAccepted.Load()
 }
 
+// former returns the owner of the pool in some term, or nil.
+func (ste *site) former(pool string) *ownership {
+	ste.mu.Lock()
+	defer ste.mu.Unlock()
+	var owns []*ownership
+	for _, address := range slices.Sorted(maps.Keys(ste.owners)) {
+		if own := ste.owners[address]; own.Pool() == pool {
+			owns = append(owns, own)
+		}
+	}
+	if len(owns) == 0 {
+		return nil
+	}
+	return owns[ste.rnd.IntN(len(owns))]
+}
+
 // submit sends a job by the configuration that an entry has read, to the newest owner of the pool or a former one. It
 // reports whether the job was accepted.
 func (ste *site) submit(num int, pln *plan.Plan) bool {
@@ -281,15 +303,11 @@
 	que := tab.Queues()[0]
 	ste.mu.Lock()
 	own := ste.current[que.Pool]
-	if ste.rnd.IntN(4) == 0 {
-		for _, former := range ste.owners {
-			if former.Pool() == que.Pool {
-				own = former
-				break
-			}
-		}
-	}
+	isOld := ste.rnd.IntN(4) == 0
 	ste.mu.Unlock()
+	if isOld {
+		own = ste.former(que.Pool)
+	}
 	if own == nil {
 		return false
 	}
