Ask an owner that has just claimed the pool before its term is ended

The owner that had replaced the frozen one was opening the pool when its term was ended, and an entry of the earlier version that lagged took the pool over.

Change: the term is ended only if the claim is the one that was asked from the beginning; a later owner is asked first.

Measured: TestNextOwnerIsAsked, present version: the term is ended before.

--- a/internal/schedule/claim/claim.go
+++ b/internal/schedule/claim/claim.go
@@ -109,27 +109,27 @@
 
 // FindOwner returns the address in the newest claim of name, or "" when there is none.
 func FindOwner(ctx context.Context, log statelog.Client, name string) (string, error) {
-	newest, err := lookup(ctx, log, name)
+	newest, _, err := lookup(ctx, log, name)
 	return newest.Address, err
 }
 
-// RegistersRoutes reports whether the newest claim of name, if there is any, is of an owner that registers routes. One
-// of an earlier version of the program does not.
-func RegistersRoutes(ctx context.Context, log statelog.Client, name string) (bool, error) {
-	newest, err := lookup(ctx, log, name)
-	return newest.RegistersRoutes || newest.Term == 0, err
+// Newest returns the fencing token of the newest claim of name, 0 when there is none, and whether its owner registers
+// routes. One of an earlier version of the program does not.
+func Newest(ctx context.Context, log statelog.Client, name string) (token int64, registersRoutes bool, err error) {
+	newest, token, err := lookup(ctx, log, name)
+	return token, newest.RegistersRoutes, err
 }
 
-// lookup returns the newest claim of name, an empty one when there is none.
-func lookup(ctx context.Context, log statelog.Client, name string) (newest claimJSON, err error) {
+// lookup returns the newest claim of name and its fencing token, an empty claim and 0 when there is none.
+func lookup(ctx context.Context, log statelog.Client, name string) (newest claimJSON, token int64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout/2)
 	defer cancel()
 	rec, ok, err := log.Lookup(ctx, topic, 0, name)
 	if err != nil || !ok {
-		return claimJSON{}, err
+		return claimJSON{}, 0, err
 	}
 	err = json.Unmarshal(rec.Value, &newest)
-	return newest, errors.Wrapf(err, "decode claim of %s", name)
+	return newest, rec.Offset + 1, errors.Wrapf(err, "decode claim of %s", name)
 }
 
 // Tokens returns the fencing tokens of the newest claims by name.
--- a/internal/schedule/gateway/closeroute.go
+++ b/internal/schedule/gateway/closeroute.go
@@ -18,26 +18,32 @@
 )
 
 // CloseRoute returns once no owner of the pool accepts jobs of the queue by a route from before the version of the
-// configuration. The owner is asked to read the version. If none confirms that within reachTimeout, the present term is
-// ended in the log, and the next owner finds the later route registered. One of an earlier version of the program would
-// not, so while the newest claim is of such an owner, the next one is waited for, up to lagLimit.
+// configuration. The owner is asked to read the version. If it does not confirm that within reachTimeout, its term is
+// ended in the log, and the next owner finds the later route registered. The next owner of an earlier version of the
+// program would not, so one of such a version is waited for up to lagLimit, and replaced by itself meanwhile.
 func (gtw *Gateway) CloseRoute(ctx context.Context, pool string, que queue.Ref, version int64) error {
 	began := time.Now()
-	err := gtw.askToLeave(ctx, reachTimeout, pool, que, version)
-	if err == nil || ctx.Err() != nil {
-		return err
-	}
-	isRegistering, lookupErr := claim.RegistersRoutes(ctx, gtw.cfg.StateLog, pool)
-	if lookupErr != nil {
-		return lookupErr
-	}
-	if !isRegistering {
-		err = gtw.askToLeave(ctx, lagLimit-reachTimeout, pool, que, version)
-		if err == nil || ctx.Err() != nil {
+	for {
+		token, isRegistering, err := claim.Newest(ctx, gtw.cfg.StateLog, pool)
+		if err != nil {
 			return err
 		}
+		limit := reachTimeout
+		if !isRegistering {
+			limit = lagLimit
+		}
+		cause := gtw.askToLeave(ctx, limit, pool, que, version)
+		if cause == nil || ctx.Err() != nil {
+			return cause
+		}
+		present, _, err := claim.Newest(ctx, gtw.cfg.StateLog, pool)
+		if err != nil {
+			return err
+		}
+		if present == token { // an owner that has just claimed the pool has not been asked for long
+			return gtw.endTerm(ctx, began, pool, cause)
+		}
 	}
-	return gtw.endTerm(ctx, began, pool, err)
 }
 
 // askToLeave asks the pool's owner, and again if that fails or the owner changes, until the time is over.
@@ -93,7 +99,8 @@
 	left := slices.Sorted(maps.Keys(gtw.leftAt[address]))
 	gtw.mu.Unlock()
 	for _, pool := range left {
-		if isRegistering, err := claim.RegistersRoutes(ctx, gtw.cfg.StateLog, pool); err != nil || !isRegistering {
+		token, isRegistering, err := claim.Newest(ctx, gtw.cfg.StateLog, pool)
+		if err != nil || token > 0 && !isRegistering {
 			pools = append(pools, pool)
 		}
 	}
--- a/internal/schedule/gateway/closeroute_test.go
+++ b/internal/schedule/gateway/closeroute_test.go
@@ -6,12 +6,15 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"daisywheel/internal/fleet/queue"
+	"daisywheel/internal/result/code"
+	"daisywheel/internal/result/fault"
 	"daisywheel/internal/schedule/claim"
 	"daisywheel/internal/schedule/statelog"
 	"daisywheel/internal/standin/logstore"
@@ -81,32 +84,53 @@
 	}
 }
 
-// The owner of a queue's former pool runs an earlier version of the program and does not answer. The next one, of the same
-// version, would accept jobs by an earlier route if it lags, so it has to answer.
-func TestNextOwnerOfAnEarlierVersionIsAsked(t *testing.T) {
-	t.Parallel()
-	log := logstore.New(logstore.Config{}).Client()
-	ept := startPeerWith(t, log, func(json.RawMessage) (any, error) { return map[string]any{}, nil })
-	ept.Handle("job.state", func(context.Context, json.RawMessage) (any, error) { return map[string]any{}, nil })
-	next, err := claim.FindOwner(t.Context(), log, "gate")
-	if err != nil {
-		t.Fatal(err)
-	}
-	put := func(value string) {
-		_, err := log.Append(t.Context(), statelog.AppendRequest{Topic: "cells", ExpectedEnd: statelog.AnyOffset, Records: []statelog.Record{{Key: "old", Value: []byte(value)}}})
-		if err != nil {
-			t.Error(err)
-		}
-	}
-	put(`{"address":"127.0.0.1:2","term":1}`)
-	time.AfterFunc(2500*time.Millisecond, func() { put(fmt.Sprintf(`{"address":%q,"term":2}`, next)) })
-	watched := log
-	watched.Append = func(ctx context.Context, app statelog.AppendRequest) (int64, error) {
-		t.Errorf("append to %s: the term is ended", app.Topic)
-		return log.Append(ctx, app)
-	}
-	gtw := newGateway(t, watched, func() bool { return true })
-	if err := gtw.CloseRoute(t.Context(), "old", queue.Ref{Name: "q", Address: "h/q/"}, 5); err != nil {
-		t.Error(err)
+// The owner of a queue's former pool does not answer, and another one claims the pool meanwhile, which has to be asked before
+// its term is ended. One of an earlier version of the program is given longer, as its successor of that version might accept
+// jobs by an earlier route.
+func TestNextOwnerIsAsked(t *testing.T) {
+	for _, tst := range []struct {
+		name, claims string
+		after        time.Duration // until the next owner claims the pool
+	}{
+		{"of an earlier version", "", 2500 * time.Millisecond},
+		{"of the present version", `,"registersRoutes":true`, 1200 * time.Millisecond},
+	} {
+		t.Run(tst.name, func(t *testing.T) {
+			t.Parallel()
+			log := logstore.New(logstore.Config{}).Client()
+			var claimed atomic.Int64 // UnixNano
+			ept := startPeerWith(t, log, func(json.RawMessage) (any, error) { return map[string]any{}, nil })
+			ept.Handle("job.state", func(context.Context, json.RawMessage) (any, error) {
+				if time.Since(time.Unix(0, claimed.Load())) < 400*time.Millisecond {
+					return nil, fault.New(code.NotReady, "about to own the pool")
+				}
+				return map[string]any{}, nil
+			})
+			next, err := claim.FindOwner(t.Context(), log, "gate")
+			if err != nil {
+				t.Fatal(err)
+			}
+			put := func(address string, term int) {
+				value := fmt.Sprintf(`{"address":%q,"term":%d%s}`, address, term, tst.claims)
+				_, err := log.Append(t.Context(), statelog.AppendRequest{Topic: "cells", ExpectedEnd: statelog.AnyOffset, Records: []statelog.Record{{Key: "old", Value: []byte(value)}}})
+				if err != nil {
+					t.Error(err)
+				}
+			}
+			put("127.0.0.1:2", 1)
+			time.AfterFunc(tst.after, func() {
+				claimed.Store(time.Now().UnixNano())
+				put(next, 2)
+			})
+			watched := log
+			watched.Append = func(ctx context.Context, app statelog.AppendRequest) (int64, error) {
+				t.Errorf("append to %s: the term is ended", app.Topic)
+				return log.Append(ctx, app)
+			}
+			gtw := newGateway(t, watched, func() bool { return true })
+			if err := gtw.CloseRoute(t.Context(), "old", queue.Ref{Name: "q", Address: "h/q/"}, 5); err != nil {
+				t.Error(err)
+			}
+		})
 	}
 }
