--- a/test/routes/routes_test.go
+++ b/test/routes/routes_test.go
@@ -223,7 +223,7 @@
 }
 
 // closeRoute asks the owner of the newest claim, or at times a former one, and ends the present term if it does not
-// confirm, as the gateway does.
+// confirm, as the gateway does, but without asking an owner that has just claimed the pool.
 func (ste *site) closeRoute(ctx context.Context, pool string, que queue.Ref, version int64) error {
 	isOutOfReach := ste.chance(0.3)
 	for limit := time.Now().Add(1350 * time.Millisecond); time.Now().Before(limit); time.Sleep(60 * time.Millisecond) {
