--- a/review/standin3/site.go
+++ b/review/standin3/site.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -29,6 +30,7 @@
 	machines  []*machine
 	lives     int // runners that have started
 	isClosed  bool
+	version   int // of the configuration
 	entries   []*entry
 	storeAddr string
 	cloudAddr string
@@ -96,6 +98,9 @@
 	// finishTime is finish_s: from then on no job may have nothing running for idleTime while there is capacity.
 	finishTime = 14 * time.Second
 	idleTime   = 3 * time.Second
+	// The rule on faults counts processes that end so often in a day, on so many machines at least.
+	maxEnds     = 3
+	minMachines = 2
 )
 
 // settle is how long the start may take until the pools have owners.
@@ -230,8 +235,9 @@
 // route is a queue of the configuration.
 type route struct{ prefix, service string }
 
-// configure writes the configuration.
+// configure writes the next version of the configuration.
 func (ste *site) configure(services []string, routes []route) error {
+	ste.version++
 	rows, pools := []any{}, []any{}
 	for i, rte := range routes {
 		rows = append(rows, map[string]any{
@@ -245,12 +251,12 @@
 		})
 	}
 	data, err := json.Marshal(map[string]any{
-		"version": 1, "routes": rows, "services": pools,
+		"version": ste.version, "routes": rows, "services": pools,
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	if err == nil {
 		ste.store.put("keyed.op", "config", data)
-		ste.rec.add("operator: version 1 with the services %v", services)
+		ste.rec.add("operator: version %d with the services %q", ste.version, services)
 	}
 	return err
 }
@@ -266,16 +272,18 @@
 	}
 }
 
+const (
+	// The system takes no ports below 32768 for connections, so that none is taken between the choice and the start of a process.
+	minPort = 20000
+	maxPort = 32000
+)
+
 // freePorts returns consecutive ports that are free.
 func freePorts(count int) (int, error) {
 	for range 200 {
-		first, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return 0, err
-		}
-		port := first.Addr().(*net.TCPAddr).Port
-		open := []net.Listener{first}
-		for num := 1; num < count; num++ {
+		port := minPort + rand.IntN(maxPort-minPort)
+		var open []net.Listener
+		for num := range count {
 			if lsn, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port+num))); err == nil {
 				open = append(open, lsn)
 			}
