--- a/review/standin3/large.go
+++ b/review/standin3/large.go
@@ -31,6 +31,7 @@
 				kills[ent.name]++
 				ste.rec.add("platform: process %s uses %d MB of %d MB", ent.name, mem, machineMB)
 				ste.kill(ent, syscall.SIGKILL)
+				time.Sleep(restartDelay)
 				if err := ste.start(ent); err != nil {
 					ste.rec.add("%v", err)
 				}
@@ -75,13 +76,7 @@
 	ste.rec.add("%d of %d jobs were accepted", len(accepted), largeJobs)
 	time.Sleep(finishTime)
 	isIdle := ste.isIdleFor(idleTime, 8*time.Second)
-	open := ""
-	for _, id := range accepted {
-		if status, state := ste.state(ste.entries[0], "/alder/", id); status == http.StatusOK && (state == "queued" || state == "in_progress") {
-			open = id
-			break
-		}
-	}
+	open := ste.openJob("/alder/", accepted)
 	close(done)
 	for name, num := range <-kills {
 		ste.rec.add("process %s exceeded the memory of its machine %d times", name, num)
@@ -91,3 +86,20 @@
 	}
 	return nil, nil
 }
+
+// openJob returns a job that is shown as queued or in progress, "" if none is. As consumers do, it asks other entries where one
+// gives no answer.
+func (ste *site) openJob(prefix string, ids []string) string {
+	for _, id := range ids {
+		for _, ent := range ste.entries {
+			status, state := ste.state(ent, prefix, id)
+			if status == http.StatusOK && (state == "queued" || state == "in_progress") {
+				return id
+			}
+			if status == http.StatusOK {
+				break
+			}
+		}
+	}
+	return ""
+}
--- a/review/standin3/quote.go
+++ b/review/standin3/quote.go
@@ -8,11 +8,8 @@
 
 func init() { scenarios["quote"] = playQuote }
 
-const (
-	// restartDelay is how long after its end a process is started again.
-	restartDelay = 300 * time.Millisecond
-	quoteTime    = 20 * time.Second
-)
+// quoteTime is how long the processes are watched.
+const quoteTime = 20 * time.Second
 
 // restartEnded starts processes that have ended again, for the time. It returns how often each has ended.
 func (ste *site) restartEnded(limit time.Duration) (map[string]int, error) {
--- a/review/standin3/site.go
+++ b/review/standin3/site.go
@@ -95,6 +95,8 @@
 
 const (
 	machineMB = 284 // memory_mb in the settings
+	// restartDelay is how long after its end a process is started again.
+	restartDelay = 300 * time.Millisecond
 	// finishTime is finish_s: from then on no job may have nothing running for idleTime while there is capacity.
 	finishTime = 14 * time.Second
 	idleTime   = 3 * time.Second
