Tell the claim of a pool named fleet from that of the fleet controller

Cause: the fleet controller claims under the name fleet, owners under the bare names of their pools, in one topic. Change: claim.Name is the fleet or a pool and has an injective key; ownership queries name the kind; an entry keeps its marks of starts by claim.Name. All other keys stay as they were.

--- a/internal/schedule/fleetcontroller/fleetcontroller.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller.go
@@ -26,8 +26,9 @@
 	"daisywheel/internal/schedule/statelog"
 )
 
-// ClaimName is the name under which the fleet is claimed.
-const ClaimName = "fleet"
+// RecordsName selects the partition of the controller's records. It is also the producer of its appends, the only one in
+// that topic.
+const RecordsName = "fleet"
 
 // Intervals and limits of the fleet controller.
 const (
@@ -153,7 +154,7 @@
 	if cfg.SinceBoot == nil {
 		cfg.SinceBoot = boottime.Now
 	}
-	clm, err := claim.Acquire(ctx, cfg.StateLog, ClaimName, cfg.Address)
+	clm, err := claim.Acquire(ctx, cfg.StateLog, claim.Fleet(), cfg.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -194,7 +195,7 @@
 	defer cancel()
 	app := statelog.AppendRequest{
 		Topic: topic, Partition: ctl.cfg.Partition, Records: recs, ExpectedEnd: statelog.AnyOffset,
-		Producer: ClaimName, Epoch: ctl.clm.FencingToken(), Seq: ctl.seq,
+		Producer: RecordsName, Epoch: ctl.clm.FencingToken(), Seq: ctl.seq,
 	}
 	_, err := ctl.cfg.StateLog.Append(ctx, app)
 	if errors.Is(err, statelog.ErrFenced) {
@@ -208,7 +209,7 @@
 
 // provesTerm reports whether the log shows that no other entry has claimed the fleet.
 func (ctl *Controller) provesTerm(now time.Time) bool {
-	isNewest, err := claim.IsNewest(context.Background(), ctl.cfg.StateLog, ClaimName, ctl.clm.FencingToken())
+	isNewest, err := claim.IsNewest(context.Background(), ctl.cfg.StateLog, claim.Fleet(), ctl.clm.FencingToken())
 	if err == nil && !isNewest {
 		ctl.setLost(now, "fleet claimed by a later fleet controller")
 	}
--- a/internal/schedule/fleetcontroller/quota.go
+++ b/internal/schedule/fleetcontroller/quota.go
@@ -69,7 +69,7 @@
 	var missing []string
 	for pool, fence := range qts.owners {
 		isNeeded := !isExpired || tab.IsActive(pool)
-		if pool != ClaimName && isNeeded && !qts.ledger.Has(pool, fence, ctl.clm.FencingToken()) {
+		if isNeeded && !qts.ledger.Has(pool, fence, ctl.clm.FencingToken()) {
 			missing = append(missing, pool)
 		}
 	}
@@ -100,7 +100,7 @@
 	if !isDue {
 		return
 	}
-	owners, err := claim.Tokens(context.Background(), ctl.cfg.StateLog)
+	owners, err := claim.PoolTokens(context.Background(), ctl.cfg.StateLog)
 	if err != nil {
 		ctl.cfg.Journal.Warn(now, "poolOwnersUnread", slog.String("error", err.Error()))
 		return
--- a/internal/schedule/fleetcontroller/quota_test.go
+++ b/internal/schedule/fleetcontroller/quota_test.go
@@ -103,7 +103,7 @@
 func (mdl *quotaModel) table() *queue.Table { return mdl.tables[len(mdl.tables)-1] }
 
 func (mdl *quotaModel) openController() {
-	clm, err := claim.Acquire(mdl.t.Context(), mdl.log, ClaimName, "")
+	clm, err := claim.Acquire(mdl.t.Context(), mdl.log, claim.Fleet(), "")
 	if err != nil {
 		mdl.t.Fatal(err)
 	}
@@ -114,7 +114,7 @@
 }
 
 func (mdl *quotaModel) openOwner(pol *quotaPool) {
-	clm, err := claim.Acquire(mdl.t.Context(), mdl.log, pol.name, "")
+	clm, err := claim.Acquire(mdl.t.Context(), mdl.log, claim.Pool(pol.name), "")
 	if err != nil {
 		mdl.t.Fatal(err)
 	}
--- a/internal/schedule/gateway/closeroute.go
+++ b/internal/schedule/gateway/closeroute.go
@@ -24,7 +24,7 @@
 func (gtw *Gateway) CloseRoute(ctx context.Context, pool string, que queue.Ref, version int64) error {
 	began := time.Now()
 	for {
-		token, isRegistering, err := claim.Newest(ctx, gtw.cfg.StateLog, pool)
+		token, isRegistering, err := claim.Newest(ctx, gtw.cfg.StateLog, claim.Pool(pool))
 		if err != nil {
 			return err
 		}
@@ -36,7 +36,7 @@
 		if cause == nil || ctx.Err() != nil {
 			return cause
 		}
-		present, _, err := claim.Newest(ctx, gtw.cfg.StateLog, pool)
+		present, _, err := claim.Newest(ctx, gtw.cfg.StateLog, claim.Pool(pool))
 		if err != nil {
 			return err
 		}
@@ -68,7 +68,7 @@
 		return nil
 	}
 	began := time.Now()
-	clm, err := claim.Supersede(ctx, gtw.cfg.StateLog, pool)
+	clm, err := claim.Supersede(ctx, gtw.cfg.StateLog, claim.Pool(pool))
 	if err != nil {
 		return err
 	}
@@ -99,7 +99,7 @@
 	left := slices.Sorted(maps.Keys(gtw.leftAt[address]))
 	gtw.mu.Unlock()
 	for _, pool := range left {
-		token, isRegistering, err := claim.Newest(ctx, gtw.cfg.StateLog, pool)
+		token, isRegistering, err := claim.Newest(ctx, gtw.cfg.StateLog, claim.Pool(pool))
 		if err != nil || token > 0 && !isRegistering {
 			pools = append(pools, pool)
 		}
--- a/internal/schedule/gateway/closeroute_test.go
+++ b/internal/schedule/gateway/closeroute_test.go
@@ -25,7 +25,7 @@
 func TestTermOfAnOwnerOutOfReachIsEndedOnce(t *testing.T) {
 	t.Parallel()
 	log := logstore.New(logstore.Config{}).Client()
-	former, err := claim.Acquire(t.Context(), log, "old", "127.0.0.1:2")
+	former, err := claim.Acquire(t.Context(), log, claim.Pool("old"), "127.0.0.1:2")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -46,7 +46,7 @@
 	if _, err := log.Append(t.Context(), late); !errors.Is(err, statelog.ErrFenced) {
 		t.Errorf("append of the former owner: %v, want fenced", err)
 	}
-	next, err := claim.Acquire(t.Context(), log, "old", "127.0.0.1:3")
+	next, err := claim.Acquire(t.Context(), log, claim.Pool("old"), "127.0.0.1:3")
 	if err != nil || next.Term() != 3 {
 		t.Errorf("term %d (%v), want 3: the former owner's, the end of its term, and the next", next.Term(), err)
 	}
@@ -57,7 +57,7 @@
 func TestUnregisteredPoolsAreOfEarlierVersions(t *testing.T) {
 	t.Parallel()
 	log := logstore.New(logstore.Config{}).Client()
-	if _, err := claim.Acquire(t.Context(), log, "new", "127.0.0.1:2"); err != nil {
+	if _, err := claim.Acquire(t.Context(), log, claim.Pool("new"), "127.0.0.1:2"); err != nil {
 		t.Fatal(err)
 	}
 	_, err := log.Append(t.Context(), statelog.AppendRequest{
@@ -76,7 +76,7 @@
 	if pools := gtw.UnregisteredPools(t.Context(), "h/q/"); !slices.Equal(pools, []string{"old"}) {
 		t.Errorf("pools %v, want old", pools)
 	}
-	if next, err := claim.Acquire(t.Context(), log, "old", "127.0.0.1:4"); err != nil || next.Term() != 5 {
+	if next, err := claim.Acquire(t.Context(), log, claim.Pool("old"), "127.0.0.1:4"); err != nil || next.Term() != 5 {
 		t.Errorf("term %d (%v) after a claim of an earlier version, want 5", next.Term(), err)
 	}
 	if pools := gtw.UnregisteredPools(t.Context(), "h/q/"); len(pools) > 0 {
@@ -106,7 +106,7 @@
 				}
 				return map[string]any{}, nil
 			})
-			next, err := claim.FindOwner(t.Context(), log, "gate")
+			next, err := claim.FindOwner(t.Context(), log, claim.Pool("gate"))
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/schedule/gateway/formerpool_test.go
+++ b/internal/schedule/gateway/formerpool_test.go
@@ -49,12 +49,12 @@
 				}
 				return map[string]any{}, err
 			})
-			former, err := claim.FindOwner(t.Context(), log, "gate")
+			former, err := claim.FindOwner(t.Context(), log, claim.Pool("gate"))
 			if tst.isGone {
 				former = "127.0.0.1:2"
 			}
 			if err == nil {
-				_, err = claim.Acquire(t.Context(), log, "old", former)
+				_, err = claim.Acquire(t.Context(), log, claim.Pool("old"), former)
 			}
 			if err != nil {
 				t.Fatal(err)
@@ -94,9 +94,9 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	})
-	former, err := claim.FindOwner(t.Context(), log, "gate")
+	former, err := claim.FindOwner(t.Context(), log, claim.Pool("gate"))
 	if err == nil {
-		_, err = claim.Acquire(t.Context(), log, "old", former)
+		_, err = claim.Acquire(t.Context(), log, claim.Pool("old"), former)
 	}
 	if err != nil {
 		t.Fatal(err)
--- a/internal/schedule/gateway/gateway.go
+++ b/internal/schedule/gateway/gateway.go
@@ -545,7 +545,7 @@
 	if isRecent {
 		return
 	}
-	address, err := claim.FindOwner(ctx, gtw.cfg.StateLog, pool)
+	address, err := claim.FindOwner(ctx, gtw.cfg.StateLog, claim.Pool(pool))
 	gtw.mu.Lock()
 	defer gtw.mu.Unlock()
 	if gtw.isLogReachable != (err == nil) && ctx.Err() == nil {
--- a/internal/schedule/gateway/gateway_test.go
+++ b/internal/schedule/gateway/gateway_test.go
@@ -45,7 +45,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(ept.Close)
-	if _, err := claim.Acquire(t.Context(), log, "gate", address); err != nil {
+	if _, err := claim.Acquire(t.Context(), log, claim.Pool("gate"), address); err != nil {
 		t.Fatal(err)
 	}
 	return ept
@@ -294,11 +294,11 @@
 	ept := startPeerWith(t, log, func(json.RawMessage) (any, error) { return map[string]any{}, nil })
 	ept.Handle("job.state", answer)
 	ept.Handle("job.cancel", answer)
-	address, err := claim.FindOwner(t.Context(), log, "gate")
+	address, err := claim.FindOwner(t.Context(), log, claim.Pool("gate"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := claim.Acquire(t.Context(), log, "old", address); err != nil {
+	if _, err := claim.Acquire(t.Context(), log, claim.Pool("old"), address); err != nil {
 		t.Fatal(err)
 	}
 	que := queue.Queue{Name: "q", Host: "h", Prefix: "/q/", Pool: "gate", Version: 2}
--- a/internal/schedule/owner/loops.go
+++ b/internal/schedule/owner/loops.go
@@ -143,7 +143,7 @@
 	for own.awaitClaimCheck() {
 		sent := own.cfg.Now()
 		cnf := newConfirmation(sent, own.cfg.SinceBoot())
-		isNewest, err := claim.IsNewest(context.Background(), own.cfg.StateLog, own.cfg.Pool, own.fencingToken)
+		isNewest, err := claim.IsNewest(context.Background(), own.cfg.StateLog, claim.Pool(own.cfg.Pool), own.fencingToken)
 		if err == nil && !isNewest {
 			own.loseOwnership(own.cfg.Now(), "a later owner has claimed the pool")
 			return
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -144,7 +144,7 @@
 		cfg.Now = time.Now
 	}
 	cnf := newConfirmation(now, cfg.SinceBoot())
-	clm, err := claim.Acquire(ctx, cfg.StateLog, cfg.Pool, cfg.Address)
+	clm, err := claim.Acquire(ctx, cfg.StateLog, claim.Pool(cfg.Pool), cfg.Address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/schedule/service/fleet.go
+++ b/internal/schedule/service/fleet.go
@@ -46,33 +46,33 @@
 func (svc *Service) reconcileController(now time.Time, assigned map[int]bool) {
 	if svc.controller != nil && (now.Sub(svc.confirmedAt) >= poolscheduler.OwnerGracePeriod || isClosed(svc.controller.Lost())) {
 		go svc.controller.Close()
-		svc.controller, svc.failedAt[fleetcontroller.ClaimName] = nil, now
+		svc.controller, svc.failedAt[claim.Fleet()] = nil, now
 	}
-	isBackingOff := now.Sub(svc.failedAt[fleetcontroller.ClaimName]) < reopenDelay
-	if !assigned[controllerPartition] || svc.controller != nil || svc.opening[fleetcontroller.ClaimName] || isBackingOff {
+	isBackingOff := now.Sub(svc.failedAt[claim.Fleet()]) < reopenDelay
+	if !assigned[controllerPartition] || svc.controller != nil || svc.opening[claim.Fleet()] || isBackingOff {
 		return
 	}
-	svc.opening[fleetcontroller.ClaimName] = true
+	svc.opening[claim.Fleet()] = true
 	go svc.openController()
 }
 
 func (svc *Service) openController() {
 	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
 	defer cancel()
-	if !svc.shouldClaim(ctx, fleetcontroller.ClaimName) {
-		svc.deferClaim(fleetcontroller.ClaimName)
+	if !svc.shouldClaim(ctx, claim.Fleet()) {
+		svc.deferClaim(claim.Fleet())
 		return
 	}
 	ctl, err := fleetcontroller.Open(ctx, time.Now(), fleetcontroller.Config{
-		Holder: svc.cfg.Name, Address: svc.cfg.PeerAddress, Partition: group.PartitionOf(fleetcontroller.ClaimName, svc.cfg.Partitions), OrderLease: svc.cfg.OrderLease, OrderRate: svc.cfg.OrderRate,
+		Holder: svc.cfg.Name, Address: svc.cfg.PeerAddress, Partition: group.PartitionOf(fleetcontroller.RecordsName, svc.cfg.Partitions), OrderLease: svc.cfg.OrderLease, OrderRate: svc.cfg.OrderRate,
 		StateLog: svc.cfg.StateLog, Directory: svc.cfg.Directory, Journal: svc.cfg.Journal, Table: svc.Table,
 	})
 	now := time.Now()
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
-	delete(svc.opening, fleetcontroller.ClaimName)
+	delete(svc.opening, claim.Fleet())
 	if err != nil {
-		svc.failedAt[fleetcontroller.ClaimName] = now
+		svc.failedAt[claim.Fleet()] = now
 		svc.cfg.Journal.Warn(now, "stewardNotOpened", slog.String("error", err.Error()))
 		return
 	}
@@ -161,7 +161,7 @@
 	defer cancel()
 	var err error
 	if address == "" {
-		address, err = claim.FindOwner(ctx, svc.cfg.StateLog, fleetcontroller.ClaimName)
+		address, err = claim.FindOwner(ctx, svc.cfg.StateLog, claim.Fleet())
 		if err != nil || address == "" {
 			return reportReplyJSON{}, fault.New(code.NotReady, "this entry knows no fleet controller")
 		}
--- a/internal/schedule/service/probe.go
+++ b/internal/schedule/service/probe.go
@@ -9,7 +9,6 @@
 	"daisywheel/internal/result/code"
 	"daisywheel/internal/result/fault"
 	"daisywheel/internal/schedule/claim"
-	"daisywheel/internal/schedule/fleetcontroller"
 	"daisywheel/internal/schedule/group"
 )
 
@@ -37,21 +36,36 @@
 // ownershipQueryJSON asks an entry for its ownership status. Grade is that of the
 // asking entry.
 type ownershipQueryJSON struct {
-	Name  string `json:"name"`
+	Name  string `json:"name"` // the pool, or fleetName
+	Kind  string `json:"kind,omitempty"`
 	Grade int    `json:"grade"`
 }
 
+// Kinds of names in an ownership query. Earlier versions of the program send none, so that a pool may be taken for the fleet.
+const (
+	fleetKind = "fleet"
+	poolKind  = "pool"
+	fleetName = "fleet"
+)
+
+func newOwnershipQuery(name claim.Name, grade int) ownershipQueryJSON {
+	if pool, ok := name.Pool(); ok {
+		return ownershipQueryJSON{Name: pool, Kind: poolKind, Grade: grade}
+	}
+	return ownershipQueryJSON{Name: fleetName, Kind: fleetKind, Grade: grade}
+}
+
 // shouldClaim reports whether this entry should claim the pool: no live owner of at
 // least this entry's grade has it, and there is no live entry of a higher grade to
 // claim it.
-func (svc *Service) shouldClaim(ctx context.Context, name string) bool {
+func (svc *Service) shouldClaim(ctx context.Context, name claim.Name) bool {
 	sts := svc.queryOwnership(ctx, name)
 	if sts == confirmedOwner {
 		return false
 	}
 	isOutranked, err := group.IsOutranked(ctx, svc.cfg.StateLog, group.GradeOf(svc.cfg.MilliCores))
 	if err != nil {
-		svc.cfg.Journal.Warn(time.Now(), "gradesUnread", slog.String("name", name), slog.String("error", err.Error()))
+		svc.cfg.Journal.Warn(time.Now(), "gradesUnread", slog.String("name", name.String()), slog.String("error", err.Error()))
 		isOutranked = false // a pool without an owner is worse than one with a weak owner
 	}
 	svc.mu.Lock()
@@ -63,10 +77,10 @@
 // queryOwnership returns the ownership status of the entry with the newest claim. An
 // entry that does not answer counts as not the owner. If it still is the owner, the
 // next claim fences it, at the cost of a change of owner.
-func (svc *Service) queryOwnership(ctx context.Context, name string) ownershipStatus {
+func (svc *Service) queryOwnership(ctx context.Context, name claim.Name) ownershipStatus {
 	address, err := claim.FindOwner(ctx, svc.cfg.StateLog, name)
 	if err != nil {
-		svc.cfg.Journal.Warn(time.Now(), "claimUnread", slog.String("name", name), slog.String("error", err.Error()))
+		svc.cfg.Journal.Warn(time.Now(), "claimUnread", slog.String("name", name.String()), slog.String("error", err.Error()))
 		return confirmedOwner // without the log nothing can be claimed either
 	}
 	if address == "" || address == svc.cfg.PeerAddress {
@@ -75,9 +89,9 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	var answer ownershipStatus
-	err = svc.link.CallIdempotent(ctx, address, methodOwnership, ownershipQueryJSON{Name: name, Grade: group.GradeOf(svc.cfg.MilliCores)}, &answer)
+	err = svc.link.CallIdempotent(ctx, address, methodOwnership, newOwnershipQuery(name, group.GradeOf(svc.cfg.MilliCores)), &answer)
 	if err != nil || answer != confirmedOwner {
-		svc.cfg.Journal.Event(time.Now(), "ownerNotAlive", slog.String("name", name), slog.String("address", address),
+		svc.cfg.Journal.Event(time.Now(), "ownerNotAlive", slog.String("name", name.String()), slog.String("address", address),
 			slog.Bool("answered", err == nil), slog.Int("standing", int(answer)))
 	}
 	if err != nil {
@@ -87,7 +101,7 @@
 }
 
 // deferClaim leaves a pool to its owner for reopenDelay.
-func (svc *Service) deferClaim(name string) {
+func (svc *Service) deferClaim(name claim.Name) {
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
 	delete(svc.opening, name)
@@ -101,7 +115,7 @@
 	}
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
-	isOwner := svc.owners[in.Name] != nil || in.Name == fleetcontroller.ClaimName && svc.controller != nil
+	isOwner := in.Kind != fleetKind && svc.owners[in.Name] != nil || in.Kind != poolKind && in.Name == fleetName && svc.controller != nil
 	isGradeSufficient := group.GradeOf(svc.cfg.MilliCores) >= in.Grade
 	switch {
 	case !isOwner || !isGradeSufficient || svc.stopping.Load():
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -24,6 +24,7 @@
 	"daisywheel/internal/fleet/queue"
 	"daisywheel/internal/kernel/loop"
 	"daisywheel/internal/peer/rpc"
+	"daisywheel/internal/schedule/claim"
 	"daisywheel/internal/schedule/fleetcontroller"
 	"daisywheel/internal/schedule/gateway"
 	"daisywheel/internal/schedule/group"
@@ -100,8 +101,8 @@
 	// poolsChangedAt is when this entry learned of the last change of the active pools.
 	poolsChangedAt time.Time
 	owners         map[string]*owner.Owner
-	opening        map[string]bool      // by claim name: a pool or fleetcontroller.ClaimName
-	failedAt       map[string]time.Time // by claim name: when it was last lost, deferred or not opened
+	opening        map[claim.Name]bool
+	failedAt       map[claim.Name]time.Time // when it was last lost, deferred or not opened
 	// confirmedAt is when the last successful join was sent, or the time of the start
 	// while hasJoined is false.
 	confirmedAt time.Time
@@ -130,7 +131,7 @@
 func Start(now time.Time, cfg Config) (*Service, error) {
 	svc := &Service{
 		cfg: cfg, link: rpc.New(rpc.Config{}), started: now, hosts: map[string]host.Host{},
-		owners: map[string]*owner.Owner{}, opening: map[string]bool{}, failedAt: map[string]time.Time{}, confirmedAt: now,
+		owners: map[string]*owner.Owner{}, opening: map[claim.Name]bool{}, failedAt: map[claim.Name]time.Time{}, confirmedAt: now,
 		waves: map[int64]maintenance.Wave{}, evacuations: map[string]evacuation{}, reportRequested: make(chan struct{}, 1),
 		quotaRequested: make(chan struct{}, 1), quotaTerms: map[*owner.Owner]int64{},
 	}
@@ -382,7 +383,7 @@
 	for pool, own := range svc.owners {
 		if isExpired || isClosed(own.OwnershipLost()) {
 			delete(svc.owners, pool)
-			svc.failedAt[pool] = now
+			svc.failedAt[claim.Pool(pool)] = now
 			go own.Close()
 		}
 	}
@@ -402,10 +403,11 @@
 // startOpening opens the pool in the background unless it is open, is being opened or could not be
 // opened a short time ago. The caller holds the lock.
 func (svc *Service) startOpening(now time.Time, pool string, tab *queue.Table) {
-	if svc.owners[pool] != nil || svc.opening[pool] || now.Sub(svc.failedAt[pool]) < reopenDelay {
+	name := claim.Pool(pool)
+	if svc.owners[pool] != nil || svc.opening[name] || now.Sub(svc.failedAt[name]) < reopenDelay {
 		return
 	}
-	svc.opening[pool] = true
+	svc.opening[name] = true
 	go svc.openPool(pool, tab)
 }
 
@@ -451,8 +453,9 @@
 func (svc *Service) openPool(pool string, tab *queue.Table) {
 	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
 	defer cancel()
-	if !svc.shouldClaim(ctx, pool) {
-		svc.deferClaim(pool)
+	name := claim.Pool(pool)
+	if !svc.shouldClaim(ctx, name) {
+		svc.deferClaim(name)
 		return
 	}
 	own, err := owner.Open(ctx, time.Now(), owner.Config{
@@ -469,9 +472,9 @@
 	now := time.Now()
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
-	delete(svc.opening, pool)
+	delete(svc.opening, name)
 	if err != nil {
-		svc.failedAt[pool] = now
+		svc.failedAt[name] = now
 		svc.cfg.Journal.Warn(now, "ownerNotOpened", slog.String("pool", pool), slog.String("error", err.Error()))
 		return
 	}
--- a/internal/schedule/service/service_test.go
+++ b/internal/schedule/service/service_test.go
@@ -65,9 +65,20 @@
 const entryMilliCores = 400
 
 func startSite(t *testing.T, entries int) *site {
+	t.Helper()
+	ste := newSite(t, []string{pool, pool, pool, otherPool})
+	ste.putTable(1, passes)
+	for range entries {
+		ste.startEntry(entryMilliCores)
+	}
+	return ste
+}
+
+// newSite returns a site without entries and with a VM of each of the pools.
+func newSite(t *testing.T, pools []string) *site {
 	t.Helper()
 	var hosts []host.Host
-	for i, owner := range []string{pool, pool, pool, otherPool} {
+	for i, owner := range pools {
 		hosts = append(hosts, host.Host{
 			ID: fmt.Sprintf("vm-%d", i), Pool: owner, Address: fmt.Sprintf("10.0.0.%d:80", i), Incarnation: time.Now().UnixMilli(),
 			Capacity: plan.Demand{MilliCores: 4000, MemoryMB: 8000},
@@ -81,10 +92,6 @@
 	ste.late.Store(noEntry)
 	ste.refused.Store(noEntry)
 	ste.hidden.Store(noEntry)
-	ste.putTable(1, passes)
-	for range entries {
-		ste.startEntry(entryMilliCores)
-	}
 	return ste
 }
 
--- a/test/routes/routes_test.go
+++ b/test/routes/routes_test.go
@@ -227,7 +227,7 @@
 func (ste *site) closeRoute(ctx context.Context, pool string, que queue.Ref, version int64) error {
 	isOutOfReach := ste.chance(0.3)
 	for limit := time.Now().Add(1350 * time.Millisecond); time.Now().Before(limit); time.Sleep(60 * time.Millisecond) {
-		address, err := claim.FindOwner(ctx, ste.log, pool)
+		address, err := claim.FindOwner(ctx, ste.log, claim.Pool(pool))
 		ste.mu.Lock()
 		own := ste.owners[address]
 		ste.mu.Unlock()
@@ -241,7 +241,7 @@
 			return nil
 		}
 	}
-	clm, err := claim.Supersede(ctx, ste.log, pool)
+	clm, err := claim.Supersede(ctx, ste.log, claim.Pool(pool))
 	if err != nil {
 		return err
 	}
