--- a/internal/caller/admission/gate.go
+++ b/internal/caller/admission/gate.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
+	"daisywheel/internal/event/metric"
 	"daisywheel/internal/fleet/queue"
 	"daisywheel/internal/result/code"
 	"daisywheel/internal/result/fault"
@@ -45,10 +46,11 @@
 
 // NewGate returns a Gate.
 func NewGate(cfg GateConfig) *Gate {
+	refused := metric.Name("daisywheel_keys_refused_total")
 	return &Gate{
 		cfg:     cfg,
-		unknown: cfg.Metrics.GetOrCreateCounter(`daisywheel_keys_refused_total{reason="unknown"}`),
-		unsure:  cfg.Metrics.GetOrCreateCounter(`daisywheel_keys_refused_total{reason="unproven"}`),
+		unknown: cfg.Metrics.GetOrCreateCounter(refused.With("reason", "unknown").String()),
+		unsure:  cfg.Metrics.GetOrCreateCounter(refused.With("reason", "unproven").String()),
 	}
 }
 
--- a/internal/caller/budget/budget.go
+++ b/internal/caller/budget/budget.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"daisywheel/internal/event/metric"
 )
 
 const (
@@ -226,7 +228,7 @@
 
 // note counts and, once per logInterval, logs what was turned away. The caller holds the lock.
 func (bgt *Budget) note(now time.Time, reason string) {
-	bgt.cfg.Metrics.GetOrCreateCounter(`daisywheel_callers_turned_away_total{reason="` + reason + `"}`).Inc()
+	bgt.cfg.Metrics.GetOrCreateCounter(metric.Name("daisywheel_callers_turned_away_total").With("reason", reason).String()).Inc()
 	bgt.refused[reason]++
 	if now.Sub(bgt.loggedAt) < logInterval {
 		return
--- a/internal/caller/server/server.go
+++ b/internal/caller/server/server.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/semaphore"
 
+	"daisywheel/internal/event/metric"
 	"daisywheel/internal/kernel/loop"
 	"daisywheel/internal/kernel/node"
 	"daisywheel/internal/kernel/plugin"
@@ -54,7 +55,7 @@
 
 // counterKey identifies a counter. The code is code.OK if the counter has none.
 type counterKey struct {
-	metric  string
+	event   string
 	service string
 	code    code.Code
 }
@@ -233,19 +234,19 @@
 }
 
 // count adds one to a counter.
-func (srv *Server) count(metric, service string, cd code.Code) {
-	key := counterKey{metric: metric, service: srv.serviceLabel(service), code: cd}
+func (srv *Server) count(event, service string, cd code.Code) {
+	key := counterKey{event: event, service: srv.serviceLabel(service), code: cd}
 	if found, ok := srv.counters.Load(key); ok {
 		if counter, ok := found.(*metrics.Counter); ok {
 			counter.Inc()
 		}
 		return
 	}
-	label := "{service=" + strconv.Quote(key.service)
+	name := metric.Name("daisywheel_requests_"+event+"_total").With("service", key.service)
 	if cd != code.OK {
-		label += ",code=\"" + strconv.Itoa(int(cd)) + "\""
+		name = name.With("code", strconv.Itoa(int(cd)))
 	}
-	counter := srv.nod.Metrics().GetOrCreateCounter("daisywheel_requests_" + metric + "_total" + label + "}")
+	counter := srv.nod.Metrics().GetOrCreateCounter(name.String())
 	counter.Inc()
 	srv.counters.Store(key, counter)
 }
--- a/internal/operator/api/status.go
+++ b/internal/operator/api/status.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"daisywheel/internal/event/metric"
 	"daisywheel/internal/operator/wire"
 	"daisywheel/internal/state/fleet"
 )
@@ -167,7 +167,7 @@
 	metrics.WriteProcessMetrics(rsp)
 }
 
-func (ap *API) setGauge(metric, pool string, value int) {
-	name := fmt.Sprintf("daisywheel_pool_%s{pool=%q}", metric, pool)
-	ap.nod.Metrics().GetOrCreateFloatCounter(name).Set(float64(value))
+func (ap *API) setGauge(gauge, pool string, value int) {
+	name := metric.Name("daisywheel_pool_" + gauge)
+	ap.nod.Metrics().GetOrCreateFloatCounter(name.With("pool", pool).String()).Set(float64(value))
 }
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"daisywheel/internal/event/journal"
+	"daisywheel/internal/event/metric"
 	"daisywheel/internal/fleet/agent"
 	"daisywheel/internal/fleet/balance"
 	"daisywheel/internal/fleet/host"
@@ -153,8 +154,8 @@
 		planRequested: make(chan struct{}, 1), routesRequested: make(chan struct{}, 1), flushRequested: make(chan struct{}, 1), claimCheckRequested: make(chan struct{}, 1), confirmed: cnf,
 		quit: make(chan struct{}), lost: make(chan struct{}), done: make(chan struct{}),
 	}
-	own.appendTime = cfg.Metrics.GetOrCreateHistogram(`daisywheel_append_seconds{pool="` + cfg.Pool + `"}`)
-	own.orderTime = cfg.Metrics.GetOrCreateHistogram(`daisywheel_order_seconds{pool="` + cfg.Pool + `"}`)
+	own.appendTime = cfg.Metrics.GetOrCreateHistogram(metric.Name("daisywheel_append_seconds").With("pool", cfg.Pool).String())
+	own.orderTime = cfg.Metrics.GetOrCreateHistogram(metric.Name("daisywheel_order_seconds").With("pool", cfg.Pool).String())
 	own.sch = poolscheduler.New(poolscheduler.Config{
 		Name: cfg.Pool, FencingToken: clm.FencingToken(), RunNumberBase: clm.RunNumberBase(), MaxLease: cfg.MaxLease, LongestLease: cfg.LongestLease, StatusRetention: cfg.StatusRetention,
 		IsFirstTerm: clm.Term() == 1, Event: own.event,
@@ -191,7 +192,7 @@
 // event writes a log line and counts it, so that the metrics include lines that are
 // dropped under load.
 func (own *Owner) event(now time.Time, kind string, attrs ...slog.Attr) {
-	own.cfg.Metrics.GetOrCreateCounter(`daisywheel_events_total{pool="` + own.cfg.Pool + `",event="` + kind + `"}`).Inc()
+	own.cfg.Metrics.GetOrCreateCounter(metric.Name("daisywheel_events_total").With("pool", own.cfg.Pool).With("event", kind).String()).Inc()
 	own.cfg.Journal.Event(now, kind, append(attrs, slog.String("pool", own.cfg.Pool))...)
 }
 
--- a/internal/schedule/owner/quota.go
+++ b/internal/schedule/owner/quota.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"daisywheel/internal/event/metric"
 	"daisywheel/internal/fleet/quota"
 )
 
@@ -32,8 +33,8 @@
 
 func (own *Owner) setQuotaMetrics(usg quota.Usage) {
 	for kind, milliCores := range map[string]int64{"used": usg.Used.MilliCores, "held": usg.Held.MilliCores, "waiting": usg.Want.MilliCores + usg.Late.MilliCores} {
-		name := `daisywheel_organisation_millicores{pool="` + own.cfg.Pool + `",organisation="` + usg.Organisation + `",kind="` + kind + `"}`
-		own.cfg.Metrics.GetOrCreateGauge(name, nil).Set(float64(milliCores))
+		name := metric.Name("daisywheel_organisation_millicores").With("pool", own.cfg.Pool).With("organisation", usg.Organisation)
+		own.cfg.Metrics.GetOrCreateGauge(name.With("kind", kind).String(), nil).Set(float64(milliCores))
 	}
 }
 
--- a/internal/schedule/service/names_test.go
+++ b/internal/schedule/service/names_test.go
@@ -1,14 +1,18 @@
 package service_test
 
 import (
+	"bytes"
 	"fmt"
+	"regexp"
+	"strings"
 	"testing"
 
 	"daisywheel/internal/fleet/queue"
 )
 
 // poolNames has names that are also ours or could be taken for two names, and such as metrics and the log have to escape.
-var poolNames = []string{"fleet", "pool:fleet", "pool", "waves", "jobs", "gate"}
+var poolNames = []string{"fleet", "pool:fleet", "pool", "waves", "jobs", "gate",
+	`mill "B"`, `mill\`, "mill\n", "mill\x00", "café", "日本", `",pool="`, "}", " ", "a=b", strings.Repeat("n", 200)}
 
 // The owner of a pool named fleet and the fleet controller took each other for the holder of one claim. After a change of
 // owner the pool had none, and its jobs stayed queued.
@@ -39,6 +43,34 @@
 			ste.awaitIn(que, ste.entries[round], job(round*len(queues)+i).ID)
 		}
 	}
+	ste.checkMetrics()
 	ste.stop()
 	ste.checkInvariants()
 }
+
+// sample matches a line of metrics.
+var sample = regexp.MustCompile(`^[a-z_]+(\{([a-z]+="([^"\\\n]|\\[\\"n])*",?)+\})? [-0-9.e+]+$`)
+
+// checkMetrics checks that each line of metrics can be read, and that each pool has its own.
+func (ste *site) checkMetrics() {
+	ste.t.Helper()
+	pools := map[string]bool{}
+	for _, set := range ste.metrics {
+		var text bytes.Buffer
+		set.WritePrometheus(&text)
+		for line := range strings.Lines(text.String()) {
+			if !sample.MatchString(strings.TrimSuffix(line, "\n")) {
+				ste.t.Errorf("metrics have the line %q", line)
+			}
+			if rest, ok := strings.CutPrefix(line, `daisywheel_append_seconds_count{pool="`); ok {
+				name, _, _ := strings.Cut(rest, `"} `)
+				pools[strings.NewReplacer(`\\`, `\`, `\"`, `"`, `\n`, "\n").Replace(name)] = true
+			}
+		}
+	}
+	for _, name := range poolNames {
+		if !pools[name] {
+			ste.t.Errorf("pool %q has no metrics", name)
+		}
+	}
+}
--- a/internal/schedule/service/service_test.go
+++ b/internal/schedule/service/service_test.go
@@ -46,6 +46,7 @@
 	store     *logstore.Store
 	entries   []*service.Service
 	addresses []string // peer addresses of the entries
+	metrics   []*metrics.Set
 	table     atomic.Pointer[queue.Table]
 	tables    tableLog
 	refused   atomic.Int32 // entry whose reads of configurations are refused, or noEntry
@@ -105,16 +106,18 @@
 	if err := lsn.Close(); err != nil {
 		ste.t.Fatal(err)
 	}
+	set := metrics.NewSet()
 	svc, err := service.Start(time.Now(), service.Config{
 		Name: fmt.Sprintf("entry-%d", len(ste.entries)), PeerAddress: address, Partitions: 16, MilliCores: milliCores,
 		MaxLease: 6 * time.Second, MaxKeyAge: maxKeyAge, StatusRetention: time.Minute, StateLog: ste.stateLog(len(ste.entries)), Directory: ste.directory(len(ste.entries)), Agent: ste.fleet.Agent(),
-		Journal: journal.New(journal.Config{}), Metrics: metrics.NewSet(),
+		Journal: journal.New(journal.Config{}), Metrics: set,
 	})
 	if err != nil {
 		ste.t.Fatal(err)
 	}
 	ste.entries = append(ste.entries, svc)
 	ste.addresses = append(ste.addresses, address)
+	ste.metrics = append(ste.metrics, set)
 	return svc
 }
 
