Read the records of a pool only by the owner of that pool

Cause: an owner took each key of its partition that begins with its pool's name and a slash for its own. The keys of a pool named gate/j begin with gate/, so its jobs ran in the pool gate too where both share a partition. Change: recordkey.Parse divides a key at its last kind; the ID of a VM in which a kind would be found is escaped.

--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -26,6 +26,7 @@
 	"daisywheel/internal/schedule/jobrecord"
 	"daisywheel/internal/schedule/poolindex"
 	"daisywheel/internal/schedule/poolscheduler"
+	"daisywheel/internal/schedule/recordkey"
 	"daisywheel/internal/schedule/refusal"
 	"daisywheel/internal/schedule/runtimestore"
 	"daisywheel/internal/schedule/statelog"
@@ -196,21 +197,40 @@
 	own.cfg.Journal.Event(now, kind, append(attrs, slog.String("pool", own.cfg.Pool))...)
 }
 
-// Topic of the job records, and the key prefixes of a pool's records.
-const (
-	jobPrefix      = "j/"
-	apartPrefix    = "n/" // of submissions that are set apart, see poolscheduler.JobUpdate
-	handoverPrefix = "m/"
-	progressPrefix = "p/"
-	vmPrefix       = "v/"
-	jobsTopic      = "jobs"
-)
+// jobsTopic is the topic of the pools' records.
+const jobsTopic = "jobs"
+
+func jobKey(pool, id string) string {
+	return recordkey.Key{Pool: pool, Kind: recordkey.Job, ID: id}.String()
+}
+
+// apartKey is the key of a submission that is set apart, see poolscheduler.JobUpdate.
+func apartKey(pool, id string) string {
+	return recordkey.Key{Pool: pool, Kind: recordkey.Apart, ID: id}.String()
+}
+
+func handoverKey(pool, id string) string {
+	return recordkey.Key{Pool: pool, Kind: recordkey.Handover, ID: id}.String()
+}
 
-func jobKey(pool, id string) string      { return pool + "/" + jobPrefix + id }
-func apartKey(pool, id string) string    { return pool + "/" + apartPrefix + id }
-func handoverKey(pool, id string) string { return pool + "/" + handoverPrefix + id }
-func vmKey(pool, id string) string       { return pool + "/" + vmPrefix + id }
-func progressKey(pool, id string) string { return pool + "/" + progressPrefix + id }
+func vmKey(pool, id string) string {
+	return recordkey.Key{Pool: pool, Kind: recordkey.VM, ID: id}.String()
+}
+
+func progressKey(pool, id string) string {
+	return recordkey.Key{Pool: pool, Kind: recordkey.Progress, ID: id}.String()
+}
+
+// parseKey returns the key of a record if it is one of the pool. A record of a kind that this version does not know has the
+// ID that the known kinds have.
+func parseKey(text, pool string) (key recordkey.Key, isOwn bool) {
+	if key, ok := recordkey.Parse(text); ok {
+		return key, key.Pool == pool
+	}
+	rest, isOwn := strings.CutPrefix(text, pool+"/")
+	kind, id, _ := strings.Cut(rest, "/")
+	return recordkey.Key{Pool: pool, Kind: recordkey.Kind(kind), ID: id}, isOwn
+}
 
 // restore fences the appends of previous owners, then reads the pool's records and
 // passes them to the pool scheduler.
@@ -230,21 +250,20 @@
 	progress := map[string]jobrecord.Progress{}
 	unreadable := 0
 	for _, rec := range recs {
-		rest, isOwn := strings.CutPrefix(rec.Key, own.cfg.Pool+"/")
+		key, isOwn := parseKey(rec.Key, own.cfg.Pool)
 		if !isOwn || len(rec.Value) == 0 {
 			continue
 		}
-		kind, id, _ := strings.Cut(rest, "/")
-		switch kind + "/" {
-		case vmPrefix:
-			err = own.restoreVM(now, id, rec.Value)
-		case handoverPrefix:
-			err = own.restoreHandover(id, rec.Value)
+		switch key.Kind {
+		case recordkey.VM:
+			err = own.restoreVM(now, key.ID, rec.Value)
+		case recordkey.Handover:
+			err = own.restoreHandover(key.ID, rec.Value)
 		default:
-			err = readRecord(rest, rec.Value, jobs, progress)
+			err = readRecord(key, rec.Value, jobs, progress)
 		}
-		if err != nil && kind+"/" != vmPrefix {
-			own.sch.RestoreUnreadableJob(id)
+		if err != nil && key.Kind != recordkey.VM {
+			own.sch.RestoreUnreadableJob(key.ID)
 		}
 		if err != nil {
 			unreadable++
@@ -293,22 +312,18 @@
 	}
 }
 
-func readRecord(rest string, value []byte, jobs map[string]*jobrecord.Job, progress map[string]jobrecord.Progress) error {
-	id, ok := strings.CutPrefix(rest, jobPrefix)
-	if !ok {
-		id, ok = strings.CutPrefix(rest, apartPrefix)
-	}
-	if ok {
+func readRecord(key recordkey.Key, value []byte, jobs map[string]*jobrecord.Job, progress map[string]jobrecord.Progress) error {
+	switch key.Kind {
+	case recordkey.Job, recordkey.Apart:
 		jb, err := jobrecord.DecodeJob(value)
 		if err == nil {
-			jobs[id] = &jb
+			jobs[key.ID] = &jb
 		}
 		return err
-	}
-	if id, ok := strings.CutPrefix(rest, progressPrefix); ok {
+	case recordkey.Progress:
 		prg, err := jobrecord.DecodeProgress(value)
 		if err == nil {
-			progress[id] = prg
+			progress[key.ID] = prg
 		}
 		return err
 	}
--- a/internal/schedule/owner/unreadable_test.go
+++ b/internal/schedule/owner/unreadable_test.go
@@ -18,6 +18,12 @@
 	for i := range recs {
 		recs[i].Key = pool + "/" + recs[i].Key
 	}
+	fxt.append(recs)
+}
+
+// append appends records.
+func (fxt *fixture) append(recs []statelog.Record) {
+	fxt.t.Helper()
 	if _, err := fxt.store.Client().Append(fxt.t.Context(), statelog.AppendRequest{Topic: "jobs", ExpectedEnd: statelog.AnyOffset, Records: recs}); err != nil {
 		fxt.t.Fatal(err)
 	}
