Leave out a pool or organisation whose name can't be used, not the configuration

Cause: an organisation without a name, or with a quotation mark, a backslash or a control character in it, made entries refuse the whole configuration, so that its routes and keys never came into force. A pool without a name got an owner whose appends nothing fenced, as the log takes an empty producer for none. Names that are empty, or too long for a key of the log, are left out of the table with a reason, which is logged as nameUnusable and shown by config check.

--- a/internal/fleet/configcheck/configcheck.go
+++ b/internal/fleet/configcheck/configcheck.go
@@ -39,6 +39,9 @@
 	add := func(lvl Level, path, fix, text string, args ...any) {
 		found = append(found, Finding{Level: lvl, Path: path, Text: fmt.Sprintf(text, args...), Fix: fix})
 	}
+	for _, reason := range tab.Unusable() {
+		add(Error, "names", "give it a usable name", "it is left out: %s", reason)
+	}
 	pools := map[string]queue.Pool{}
 	for _, pol := range tab.Pools() {
 		if _, ok := pools[pol.Name]; ok {
--- a/internal/fleet/organisation/organisation.go
+++ b/internal/fleet/organisation/organisation.go
@@ -6,8 +6,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
-	"strings"
-	"unicode"
 
 	"github.com/cockroachdb/errors"
 
@@ -38,8 +36,8 @@
 // NewSet returns a Set without organisations.
 func NewSet() *Set { return &Set{byKey: map[digest]int{}} }
 
-// Add adds an organisation with its API keys, of which it keeps digests only. It fails if the name
-// is empty or taken, a key is empty or belongs to another organisation, or a figure is negative. No
+// Add adds an organisation with its API keys, of which it keeps digests only. It fails with ErrUnusableName if the name
+// is empty or too long, and with another error if it is taken, a key is empty or belongs to another organisation, or a figure is negative. No
 // error contains a key.
 func (set *Set) Add(org Organisation, keys []string) error {
 	digests := make([]digest, len(keys))
@@ -80,16 +78,16 @@
 // maxNameBytes bounds a name, which becomes part of records, log lines and metrics.
 const maxNameBytes = 200
 
-// isUnusable reports whether a name can't have the character, as it is part of names of metrics.
-func isUnusable(chr rune) bool { return chr == '"' || chr == '\\' || !unicode.IsPrint(chr) }
+// ErrUnusableName is the error of an organisation that can't be told from others, or from none, by its name.
+var ErrUnusableName = errors.New("unusable name")
 
 func (set *Set) add(org Organisation, digests []digest) error {
 	dmd := org.Cap
 	switch {
 	case org.Name == "":
-		return errors.New("an organisation has no name")
-	case len(org.Name) > maxNameBytes || strings.ContainsFunc(org.Name, isUnusable):
-		return errors.Newf("name of organisation %.80q is longer than %d bytes, or has a quote, a backslash or a control character", org.Name, maxNameBytes)
+		return errors.Wrap(ErrUnusableName, "an organisation has no name")
+	case len(org.Name) > maxNameBytes:
+		return errors.Wrapf(ErrUnusableName, "name of organisation %.80q is longer than %d bytes", org.Name, maxNameBytes)
 	case slices.ContainsFunc(set.list, func(other Organisation) bool { return other.Name == org.Name }):
 		return errors.Newf("organisation %.80q is named twice", org.Name)
 	case !(org.Weight >= 0):
--- a/internal/fleet/queue/queue.go
+++ b/internal/fleet/queue/queue.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"daisywheel/internal/fleet/organisation"
 )
 
@@ -68,18 +70,42 @@
 	IsStandby bool // its VMs are off
 }
 
+// maxPoolBytes bounds the name of a pool. Keys of the log have 255 bytes at most, and consist of the name and up to 33
+// more, or the id of a VM.
+const maxPoolBytes = 200
+
+// check returns an error if the pool can't be served for its name.
+func (pol Pool) check() error {
+	switch {
+	case pol.Name == "":
+		return errors.New("a pool has no name")
+	case len(pol.Name) > maxPoolBytes:
+		return errors.Newf("name of pool %.80q has %d bytes, at most %d", pol.Name, len(pol.Name), maxPoolBytes)
+	}
+	return nil
+}
+
 // Table is one version of the configuration. It is immutable.
 type Table struct {
-	version int64
-	queues  []Queue // longest prefix first
-	pools   []Pool
-	orgs    *organisation.Set
-	maxBody int64
+	version  int64
+	queues   []Queue // longest prefix first
+	pools    []Pool
+	orgs     *organisation.Set
+	maxBody  int64
+	unusable []error
 }
 
-// NewTable returns a Table with the queues in the order in which Match tries them.
+// NewTable returns a Table with the queues in the order in which Match tries them. It leaves out pools whose names can't be
+// used, see Unusable.
 func NewTable(version int64, queues []Queue, pools []Pool) *Table {
-	tab := &Table{version: version, queues: append([]Queue(nil), queues...), pools: append([]Pool(nil), pools...)}
+	tab := &Table{version: version, queues: append([]Queue(nil), queues...)}
+	for _, pol := range pools {
+		if err := pol.check(); err != nil {
+			tab.unusable = append(tab.unusable, err)
+			continue
+		}
+		tab.pools = append(tab.pools, pol)
+	}
 	for i := range tab.queues {
 		tab.queues[i].Version, tab.queues[i].Since = version, version
 	}
@@ -98,6 +124,16 @@
 // Organisations returns the organisations; nil if the configuration has none.
 func (tab *Table) Organisations() *organisation.Set { return tab.orgs }
 
+// WithUnusable returns the table with further reasons why something of the configuration is not in it.
+func (tab *Table) WithUnusable(reasons []error) *Table {
+	next := *tab
+	next.unusable = append(slices.Clip(tab.unusable), reasons...)
+	return &next
+}
+
+// Unusable returns the reasons why pools and organisations of the configuration are not in the table.
+func (tab *Table) Unusable() []error { return tab.unusable }
+
 // WithMaxBody returns the table with the largest body of a caller's request in bytes.
 func (tab *Table) WithMaxBody(bytes int64) *Table {
 	next := *tab
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -275,13 +275,19 @@
 		}
 		svc.gateway.SetTable(now, tab)
 		svc.table.Store(tab)
-		svc.cfg.Journal.Event(now, "configInForce", slog.Int64("version", tab.Version()), slog.Bool("isNext", isNext))
+		svc.cfg.Journal.Event(now, "configInForce", slog.Int64("version", tab.Version()), slog.Bool("isNext", isNext), slog.Int("unusable", len(tab.Unusable())))
+		for _, reason := range tab.Unusable()[:min(len(tab.Unusable()), maxUnusableLogged)] {
+			svc.cfg.Journal.Warn(now, "nameUnusable", slog.Int64("version", tab.Version()), slog.String("error", reason.Error()))
+		}
 		if old == nil || !slices.Equal(old.Pools(), tab.Pools()) {
 			svc.poolsChangedAt = now
 		}
 	}
 }
 
+// maxUnusableLogged bounds the lines on names of one configuration.
+const maxUnusableLogged = 20
+
 // followVMList reads the VM announcements while this entry owns a pool, until quit
 // is closed.
 func (svc *Service) followVMList(quit <-chan struct{}) {
