Give queues with odd hosts addresses of their own

Cause: the address of a queue is its host and its prefix one after the other, so that a route with the host h/p/, which nobody can reach, had the address of the route with the host h and the prefix /p/. Change: a host with a slash or a quotation mark is quoted, and that of a prefix without a leading slash.

--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 	$(GO) test -run xxx -fuzz FuzzDecode -fuzztime $(FUZZ_TIME) ./platform/bootsettings
 	$(GO) test -run xxx -fuzz FuzzSplitKeyed -fuzztime $(FUZZ_TIME) ./platform/logclient
 	$(GO) test -run xxx -fuzz FuzzNames -fuzztime $(FUZZ_TIME) ./test/names
+	$(GO) test -run xxx -fuzz FuzzAddress -fuzztime $(FUZZ_TIME) ./internal/fleet/queue
 	$(GO) test -run xxx -fuzz FuzzKey -fuzztime $(FUZZ_TIME) ./internal/schedule/recordkey
 	$(GO) test -run xxx -fuzz FuzzWith -fuzztime $(FUZZ_TIME) ./internal/event/metric
 	$(GO) test -run xxx -fuzz FuzzLookup -fuzztime $(FUZZ_TIME) ./platform/logclient
--- a/internal/fleet/queue/queue.go
+++ b/internal/fleet/queue/queue.go
@@ -5,6 +5,7 @@
 import (
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -34,8 +35,14 @@
 }
 
 // Address returns the host and prefix at which callers ask. It tells queues apart over
-// versions of the configuration, as a queue may get another name.
-func (que *Queue) Address() string { return que.Host + que.Prefix }
+// versions of the configuration, as a queue may get another name. The host of a queue that can be reached has no slash,
+// and its prefix begins with one; others are told from these by the quotation mark.
+func (que *Queue) Address() string {
+	if strings.ContainsAny(que.Host, `/"`) || que.Prefix != "" && !strings.HasPrefix(que.Prefix, "/") {
+		return strconv.Quote(que.Host) + que.Prefix
+	}
+	return que.Host + que.Prefix
+}
 
 // Ref returns the reference to the queue for a request to an owner.
 func (que *Queue) Ref() Ref {
--- a/internal/fleet/queue/queue_test.go
+++ b/internal/fleet/queue/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"unicode/utf8"
 
 	"daisywheel/internal/fleet/queue"
 )
@@ -48,3 +49,23 @@
 		t.Error("only version 9 has another route than version 12")
 	}
 }
+
+// A queue that can't be reached, with a host such as h/p/, had the address of another one, whose jobs then went by its route.
+func FuzzAddress(f *testing.F) {
+	f.Add("h", "/p/", "h/p/", "")
+	f.Add("h", "/p/", "h/p", "/")
+	f.Add("h", "/p/", "", "h/p/")
+	f.Add("h", "/p/", `"h"`, "/p/")
+	f.Add("h", "", "", "h")
+	f.Add("h/", "", "h", "/")
+	f.Fuzz(func(t *testing.T, oneHost, onePrefix, twoHost, twoPrefix string) {
+		one, two := queue.Queue{Host: oneHost, Prefix: onePrefix}, queue.Queue{Host: twoHost, Prefix: twoPrefix}
+		if !utf8.ValidString(oneHost + "\n" + onePrefix + "\n" + twoHost + "\n" + twoPrefix) {
+			t.Skip()
+		}
+		isSame := oneHost == twoHost && onePrefix == twoPrefix
+		if (one.Address() == two.Address()) != isSame {
+			t.Errorf("%q %q has the address %q, %q %q has %q", oneHost, onePrefix, one.Address(), twoHost, twoPrefix, two.Address())
+		}
+	})
+}
