--- a/internal/fleet/operatorfeed/operatorfeed.go
+++ b/internal/fleet/operatorfeed/operatorfeed.go
@@ -11,6 +11,7 @@
 	"daisywheel/internal/event/journal"
 	"daisywheel/internal/fleet/directory"
 	"daisywheel/internal/kernel/boottime"
+	"daisywheel/internal/kernel/crash"
 )
 
 const (
@@ -167,9 +168,12 @@
 	fed.hasGap = fed.hasGap || page.IsSnapshot
 	now := time.Now()
 	for _, rec := range page.Records {
-		fed.cfg.Apply(now, rec, !fed.hasGap)
+		crs := crash.Catch(func() { fed.cfg.Apply(now, rec, !fed.hasGap) })
+		if crs != nil {
+			fed.cfg.Journal.Warn(now, "operatorRecordCrashed", slog.Int64("cursor", from), slog.String("error", crs.Error()), slog.String("stack", crs.Stack()))
+		}
 		switch {
-		case rec.Err != nil:
+		case rec.Err != nil || crs != nil:
 			fed.hasGap, fed.isUnreadable = true, true // it may have been a configuration
 		case rec.Table != nil:
 			fed.hasGap, fed.isUnreadable = false, false
--- a/internal/fleet/operatorfeed/operatorfeed_test.go
+++ b/internal/fleet/operatorfeed/operatorfeed_test.go
@@ -117,6 +117,35 @@
 	})
 }
 
+// A record whose application panics ended the process. It counts as one that can't be read, and the others are applied.
+func TestRecordThatPanicsIsLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, apl := &fakeLog{end: 3}, &applied{}
+		fed := operatorfeed.New(operatorfeed.Config{Journal: journal.New(journal.Config{}), Read: log.read, Apply: func(now time.Time, rec directory.OperatorRecord, isNext bool) {
+			if rec.Table.Version() == 4 {
+				panic("odd record")
+			}
+			apl.add(now, rec, isNext)
+		}})
+		if err := fed.CatchUp(t.Context(), time.Now()); err != nil {
+			t.Fatal(err)
+		}
+		log.set(func() { log.end = 5 })
+		time.Sleep(time.Millisecond)
+		if err := fed.CatchUp(t.Context(), time.Now()); err != nil || fed.Age() >= 0 {
+			t.Errorf("%v, age %s after a record that panics, want none", err, fed.Age())
+		}
+		log.set(func() { log.end = 7 })
+		time.Sleep(time.Millisecond)
+		if err := fed.CatchUp(t.Context(), time.Now()); err != nil || fed.Age() < 0 {
+			t.Errorf("%v, age %s after the records that follow", err, fed.Age())
+		}
+		if want := []string{"2", "3+", "5", "6+"}; !slices.Equal(apl.list, want) {
+			t.Errorf("applied %v, want %v", apl.list, want)
+		}
+	})
+}
+
 // Many requests that have to know the newest configuration cause few reads, and none of them goes by
 // a read that was sent before it came.
 func TestCatchUpsShareReads(t *testing.T) {
--- a/internal/peer/rpc/rpc.go
+++ b/internal/peer/rpc/rpc.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"daisywheel/internal/kernel/crash"
 	"daisywheel/internal/result/code"
 	"daisywheel/internal/result/fault"
 )
@@ -27,9 +28,12 @@
 // Handler handles calls of one method.
 type Handler func(ctx context.Context, params json.RawMessage) (any, error)
 
-// Config holds the function that dials a peer. If it is nil, New dials TCP.
+// Config holds what an Endpoint needs.
 type Config struct {
+	// Dial dials a peer; if it is nil, New dials TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// OnCrash is called after a panic in the handler of a method, whose caller gets an error; nil calls nothing.
+	OnCrash func(method string, crs *crash.Crash)
 }
 
 // Endpoint is the RPC client and server of one entry for calls between entries. It is
@@ -117,7 +121,15 @@
 	if req.Params != nil {
 		params = *req.Params
 	}
-	out, err := hnd(ctx, params)
+	var out any
+	var err error
+	crs := crash.Catch(func() { out, err = hnd(ctx, params) })
+	if crs != nil {
+		if ept.cfg.OnCrash != nil {
+			ept.cfg.OnCrash(req.Method, crs)
+		}
+		err = fault.Wrap(crs, code.OutcomeUnknown, "handling %s", req.Method)
+	}
 	if err != nil {
 		return nil, toRPCError(err)
 	}
--- a/internal/peer/rpc/rpc_test.go
+++ b/internal/peer/rpc/rpc_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"daisywheel/internal/kernel/crash"
 	"daisywheel/internal/peer/rpc"
 	"daisywheel/internal/result/code"
 	"daisywheel/internal/result/fault"
@@ -55,6 +56,31 @@
 	}
 }
 
+// A panic in the handler of a call ended the process. The caller gets an error, and calls go on.
+func TestPanicInAHandlerIsAnError(t *testing.T) {
+	address := freeAddress(t)
+	crashed := make(chan string, 1)
+	peer := rpc.New(rpc.Config{OnCrash: func(method string, crs *crash.Crash) { crashed <- method + ": " + crs.Error() }})
+	peer.Handle("odd", func(context.Context, json.RawMessage) (any, error) { panic("odd message") })
+	peer.Handle("echo", func(_ context.Context, params json.RawMessage) (any, error) { return params, nil })
+	if err := peer.Listen(address); err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	client := rpc.New(rpc.Config{})
+	defer client.Close()
+	var got string
+	if err := client.Call(t.Context(), address, "odd", "x", &got); fault.CodeOf(err) != code.OutcomeUnknown {
+		t.Errorf("call with a panic: %v, want outcomeUnknown", err)
+	}
+	if line := <-crashed; line != "odd: panic: odd message" {
+		t.Errorf("crash %q", line)
+	}
+	if err := client.Call(t.Context(), address, "echo", "one", &got); err != nil || got != "one" {
+		t.Errorf("reply %q after a panic, %v", got, err)
+	}
+}
+
 // An error that the peer returns is its reply.
 func TestCallIdempotentReturnsRefusalOfPeer(t *testing.T) {
 	address := freeAddress(t)
--- a/internal/schedule/fleetcontroller/fleetcontroller.go
+++ b/internal/schedule/fleetcontroller/fleetcontroller.go
@@ -137,7 +137,9 @@
 	loop           *loop.Loop
 	claimCheck     *loop.Loop
 	lost           chan struct{}
+	crashed        chan struct{}
 	lostOnce       sync.Once
+	crashOnce      sync.Once
 }
 
 type report struct {
@@ -161,7 +163,7 @@
 	claimedAt := cfg.SinceBoot()
 	ctl := &Controller{
 		cfg: cfg, clm: clm, takeoverAt: now, reports: map[string]report{}, arrivals: arrivals.New(), machines: map[string]directory.Machine{},
-		operations: map[string]*operation{}, waves: map[int64]*wave{}, lost: make(chan struct{}),
+		operations: map[string]*operation{}, waves: map[int64]*wave{}, lost: make(chan struct{}), crashed: make(chan struct{}),
 		recentOrders: map[string]time.Time{}, blockedUntil: map[string]time.Time{},
 		roundRequested: make(chan struct{}, 1), quotas: quotas{ledger: quota.NewLedger(), openedAt: claimedAt},
 	}
@@ -173,9 +175,9 @@
 		return nil, err
 	}
 	cfg.Journal.Event(now, "stewardStarted", slog.Int64("fence", clm.FencingToken()), slog.Int("term", clm.Term()))
-	ctl.loop = loop.EveryOrWoken("steward", roundInterval, minRoundPause, ctl.roundRequested, ctl.step)
-	ctl.claimCheck = loop.Every("stewardClaim", claimCheckInterval, ctl.checkClaim)
-	ctl.quotaCheck = loop.Every("stewardQuotas", quotaCheckInterval, ctl.checkQuotas)
+	ctl.loop = loop.EveryOrWoken("steward", roundInterval, minRoundPause, ctl.roundRequested, ctl.guarded(ctl.step))
+	ctl.claimCheck = loop.Every("stewardClaim", claimCheckInterval, ctl.guarded(ctl.checkClaim))
+	ctl.quotaCheck = loop.Every("stewardQuotas", quotaCheckInterval, ctl.guarded(ctl.checkQuotas))
 	return ctl, nil
 }
 
@@ -229,7 +231,7 @@
 // has been replaced by another one that reports.
 func (ctl *Controller) HandleReport(now time.Time, pol balance.Pool) (evacuating []string, ended []balance.VM) {
 	ctl.mu.Lock()
-	defer ctl.mu.Unlock()
+	defer ctl.unlock()
 	last := ctl.reports[pol.Name]
 	if latest := last.pool.FencingToken; pol.FencingToken > 0 && pol.FencingToken < latest {
 		ctl.cfg.Journal.Event(now, "reportIgnored", slog.String("pool", pol.Name), slog.Int64("fence", pol.FencingToken), slog.Int64("latestFence", latest))
@@ -299,7 +301,7 @@
 // ignored; one that differs replaces the earlier one.
 func (ctl *Controller) RequestWave(now time.Time, wav maintenance.Wave) {
 	ctl.mu.Lock()
-	defer ctl.mu.Unlock()
+	defer ctl.unlock()
 	if old := ctl.waves[wav.Number]; old != nil && old.isRequested && old.request.Equal(wav) {
 		return
 	}
@@ -309,13 +311,14 @@
 // step runs one round of decisions.
 func (ctl *Controller) step(now time.Time) {
 	ctl.refreshMachines(now)
-	ctl.mu.Lock()
-	sinceBoot := ctl.cfg.SinceBoot() // the list may have taken long
-	ctl.expireOperations(now, sinceBoot)
-	ctl.planWaves(now)
-	ctl.planMoves(now)
-	ready := ctl.readyOperations(now, sinceBoot)
-	ctl.mu.Unlock()
+	var ready []*operation
+	ctl.locked(func() {
+		sinceBoot := ctl.cfg.SinceBoot() // the list may have taken long
+		ctl.expireOperations(now, sinceBoot)
+		ctl.planWaves(now)
+		ctl.planMoves(now)
+		ready = ctl.readyOperations(now, sinceBoot)
+	})
 	if len(ready) > 0 {
 		ctl.sendOrders(now, ready)
 	}
--- a/internal/schedule/fleetcontroller/machines.go
+++ b/internal/schedule/fleetcontroller/machines.go
@@ -81,7 +81,7 @@
 		return
 	}
 	ctl.mu.Lock()
-	defer ctl.mu.Unlock()
+	defer ctl.unlock()
 	ctl.listedAt, ctl.listedSinceBoot = now, sinceBoot
 	clear(ctl.machines)
 	unreadable := 0
--- a/internal/schedule/fleetcontroller/moves.go
+++ b/internal/schedule/fleetcontroller/moves.go
@@ -29,7 +29,7 @@
 // YieldingVMs returns the VMs of a pool that are to be evacuated for work of another pool that can end in time.
 func (ctl *Controller) YieldingVMs(pol balance.Pool) []string {
 	ctl.mu.Lock()
-	defer ctl.mu.Unlock()
+	defer ctl.unlock()
 	urgent := map[string]bool{}
 	for _, opr := range ctl.operations {
 		if opr.isUrgent {
--- a/internal/schedule/fleetcontroller/order.go
+++ b/internal/schedule/fleetcontroller/order.go
@@ -94,7 +94,7 @@
 		return
 	}
 	for _, opr := range ready {
-		go ctl.sendOrder(opr, provenAt)
+		go ctl.guard(func() { ctl.sendOrder(opr, provenAt) })
 	}
 }
 
@@ -129,7 +129,7 @@
 // maintenance that was completed since the last append.
 func (ctl *Controller) orderRecords(ready []*operation) ([]statelog.Record, error) {
 	ctl.mu.Lock()
-	defer ctl.mu.Unlock()
+	defer ctl.unlock()
 	var recs []statelog.Record
 	for _, opr := range ready {
 		if opr.wave == 0 || opr.isOrdered {
@@ -181,7 +181,7 @@
 	}
 	ctl.cfg.Journal.Event(now, "machineOrdered", attrs...)
 	ctl.mu.Lock()
-	defer ctl.mu.Unlock()
+	defer ctl.unlock()
 	ctl.handleOutcome(now, opr, out)
 }
 
--- a/internal/schedule/fleetcontroller/quota.go
+++ b/internal/schedule/fleetcontroller/quota.go
@@ -44,7 +44,7 @@
 // that must not be raised.
 func (ctl *Controller) HandleQuotaReport(now time.Time, rpt quota.Report) (term int64, grants []quota.Grant) {
 	ctl.mu.Lock()
-	defer ctl.mu.Unlock()
+	defer ctl.unlock()
 	term = ctl.clm.FencingToken()
 	isNewest := ctl.quotas.ledger.Handle(now, rpt)
 	tab := ctl.cfg.Table()
@@ -92,11 +92,12 @@
 	if !ctl.provesTerm(now) {
 		return
 	}
-	ctl.mu.Lock()
-	ctl.quotas.provenAt = sent
-	ctl.quotas.ledger.Expire(now, quotaExpiry, tab.IsActive)
-	isDue := ctl.quotas.owners == nil && sent-ctl.quotas.openedAt >= grantDelay
-	ctl.mu.Unlock()
+	isDue := false
+	ctl.locked(func() {
+		ctl.quotas.provenAt = sent
+		ctl.quotas.ledger.Expire(now, quotaExpiry, tab.IsActive)
+		isDue = ctl.quotas.owners == nil && sent-ctl.quotas.openedAt >= grantDelay
+	})
 	if !isDue {
 		return
 	}
--- a/internal/schedule/fleetcontroller/wave.go
+++ b/internal/schedule/fleetcontroller/wave.go
@@ -79,7 +79,7 @@
 // has long-running tasks, which should not be placed there.
 func (ctl *Controller) DueVMs(pol balance.Pool) []string {
 	ctl.mu.Lock()
-	defer ctl.mu.Unlock()
+	defer ctl.unlock()
 	isDue := map[string]bool{}
 	for _, wav := range ctl.waves {
 		for _, name := range wav.request.Machines {
--- a/internal/schedule/fleetcontroller/wavereport.go
+++ b/internal/schedule/fleetcontroller/wavereport.go
@@ -89,7 +89,7 @@
 // dueReport returns the present state of a wave, and whether it has to be reported.
 func (ctl *Controller) dueReport(now time.Time, number int64) (waveReport, bool) {
 	ctl.mu.Lock()
-	defer ctl.mu.Unlock()
+	defer ctl.unlock()
 	rpt := waveReport{wave: ctl.waves[number], state: inProgress}
 	if ctl.isCompleted(rpt.wave) {
 		rpt.state = completed
--- a/internal/schedule/owner/append.go
+++ b/internal/schedule/owner/append.go
@@ -114,11 +114,11 @@
 			addresses = append(addresses, address)
 		}
 	}
-	own.mu.Lock()
-	if !own.areQueuesRecorded {
-		addresses = append(addresses, own.sch.QueueAddresses()...)
-	}
-	own.mu.Unlock()
+	own.locked(func() {
+		if !own.areQueuesRecorded {
+			addresses = append(addresses, own.sch.QueueAddresses()...)
+		}
+	})
 	for _, address := range addresses {
 		if err := own.cfg.PoolIndex.Record(context.Background(), address, own.cfg.Pool); err != nil {
 			return err
@@ -134,7 +134,7 @@
 // are left for another batch.
 func (own *Owner) takeBatch(now time.Time) (bat batch, more bool) {
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	size := 0
 	for len(own.queued) > 0 {
 		sub := own.queued[0]
@@ -316,7 +316,7 @@
 func (own *Owner) completeBatch(bat batch) {
 	now := own.cfg.Now()
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	for _, sub := range bat.subs {
 		if sub.progress != nil {
 			own.sch.Adopt(now, sub.job, *sub.progress)
@@ -343,7 +343,7 @@
 // progress goes into the next batch.
 func (own *Owner) rollBackBatch(bat batch) {
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	for _, sub := range bat.subs {
 		wait := own.refusals.Add(sub.job.FirstAttempt, sub.job.Plan)
 		own.resolve(sub, fault.NewRetryAfter(wait, code.LogUnavailable, "the job was not stored"))
@@ -356,7 +356,7 @@
 // abandonBatch fails the submissions of a batch at the end of the term.
 func (own *Owner) abandonBatch(bat batch, isUnknown bool) {
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	for _, sub := range bat.subs {
 		if isUnknown {
 			own.resolve(sub, fault.New(code.OutcomeUnknown, "job %s may be stored", sub.job.Plan.ID))
--- a/internal/schedule/owner/count.go
+++ b/internal/schedule/owner/count.go
@@ -60,7 +60,7 @@
 func (own *Owner) CountQueued(ctx context.Context, now time.Time, ref queue.Ref) (int, error) {
 	own.awaitConfirmation(ctx, now)
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	now = own.cfg.Now() // the wait may have been long
 	age := own.confirmed.age(now, own.cfg.SinceBoot())
 	attrs := []slog.Attr{slog.String("queue", ref.Name), slog.Int64("fence", own.fencingToken), slog.Duration("confirmed", age)}
@@ -88,13 +88,15 @@
 func (own *Owner) awaitConfirmation(ctx context.Context, now time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, confirmWait)
 	defer cancel()
-	own.mu.Lock()
-	checked := own.confirmed.checked
-	isDue := own.confirmed.age(now, own.cfg.SinceBoot()) > maxCountAge && now.Sub(own.confirmed.checkedAt) > minClaimCheckPause
-	if isDue {
-		own.requestClaimCheck()
-	}
-	own.mu.Unlock()
+	var checked chan struct{}
+	isDue := false
+	own.locked(func() {
+		checked = own.confirmed.checked
+		isDue = own.confirmed.age(now, own.cfg.SinceBoot()) > maxCountAge && now.Sub(own.confirmed.checkedAt) > minClaimCheckPause
+		if isDue {
+			own.requestClaimCheck()
+		}
+	})
 	if !isDue {
 		return
 	}
--- a/internal/schedule/owner/handover.go
+++ b/internal/schedule/owner/handover.go
@@ -59,16 +59,16 @@
 // queues. They must have owners even if the configuration drops them meanwhile.
 func (own *Owner) recordNextPools(bat batch) error {
 	next := map[queue.Ref]string{}
-	own.mu.Lock()
-	for _, id := range bat.handovers {
-		rec := &own.handovers[id].record
-		ref := rec.Job.Ref()
-		if ref.Address == "" { // an entry of an earlier version has stored it
-			ref.Address = own.addressOf(ref.Name)
+	own.locked(func() {
+		for _, id := range bat.handovers {
+			rec := &own.handovers[id].record
+			ref := rec.Job.Ref()
+			if ref.Address == "" { // an entry of an earlier version has stored it
+				ref.Address = own.addressOf(ref.Name)
+			}
+			next[ref] = rec.To
 		}
-		next[ref] = rec.To
-	}
-	own.mu.Unlock()
+	})
 	for ref, pool := range next {
 		if err := own.cfg.PoolIndex.Record(context.Background(), ref.Address, pool); err != nil {
 			return err
@@ -153,7 +153,7 @@
 	}
 	own.event(now, "jobHandedOver", attrs[:2]...)
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	hnd.isAdopted = true
 	own.requestFlush()
 	return true
@@ -162,30 +162,35 @@
 // Adopt returns when a job that another pool hands over is stored here. A job that this pool
 // already has is not stored again.
 func (own *Owner) Adopt(ctx context.Context, now time.Time, hnd jobrecord.Handover) error {
+	sub, err := own.enqueueHandover(now, hnd)
+	if sub == nil {
+		return err
+	}
+	return own.awaitStored(ctx, sub)
+}
+
+// enqueueHandover returns the submission of a job that another pool hands over; nil, without an error, if the pool has it.
+func (own *Owner) enqueueHandover(now time.Time, hnd jobrecord.Handover) (*submission, error) {
 	id := hnd.Job.Plan.ID
 	own.mu.Lock()
+	defer own.unlock()
 	if leaving := own.handovers[id]; leaving != nil && leaving.isAdopted {
-		own.mu.Unlock()
-		return fault.New(code.NotReady, "the last handover of job %s is not over", id)
+		return nil, fault.New(code.NotReady, "the last handover of job %s is not over", id)
 	}
 	if own.isKnown(id) {
-		own.mu.Unlock()
-		return nil
+		return nil, nil
 	}
 	if own.isEnding() {
-		own.mu.Unlock()
-		return fault.New(code.NotReady, "the pool changes its owner")
+		return nil, fault.New(code.NotReady, "the pool changes its owner")
 	}
 	if _, isPending := own.pending[id]; isPending {
-		own.mu.Unlock()
-		return fault.New(code.OutcomeUnknown, "job %s is being stored", id)
+		return nil, fault.New(code.OutcomeUnknown, "job %s is being stored", id)
 	}
 	hnd.Progress.ExtraZones = nil // those of the other pool
 	sub := &submission{resolved: make(chan struct{}), job: hnd.Job, progress: &hnd.Progress}
 	own.enqueue(sub)
 	own.event(now, "jobAdopted", slog.String("job", id), slog.String("queue", hnd.Job.Queue), slog.String("state", hnd.Progress.State.String()))
-	own.mu.Unlock()
-	return own.awaitStored(ctx, sub)
+	return sub, nil
 }
 
 // isKnown reports whether the pool has the job, or hands it over. The caller holds the lock.
--- a/internal/schedule/owner/loops.go
+++ b/internal/schedule/owner/loops.go
@@ -52,14 +52,19 @@
 			return
 		}
 		now := own.cfg.Now()
-		own.mu.Lock()
-		orders := own.sch.Plan(now)
-		if own.sch.HasUrgentChanges() {
-			own.requestFlush()
+		var orders []poolscheduler.Order
+		var isReportDue, isQuotaDue bool
+		own.locked(func() {
+			orders = own.sch.Plan(now)
+			if own.sch.HasUrgentChanges() {
+				own.requestFlush()
+			}
+			isReportDue = own.sch.IsReportDue(now)
+			_, isQuotaDue = own.sch.HasCappedWork()
+		})
+		if own.isEnding() {
+			return
 		}
-		isReportDue := own.sch.IsReportDue(now)
-		_, isQuotaDue := own.sch.HasCappedWork()
-		own.mu.Unlock()
 		if isReportDue {
 			own.cfg.RequestReport()
 		}
@@ -68,7 +73,7 @@
 		}
 		wait = max(planDelay, planIdleFactor*time.Since(now))
 		for _, ord := range orders {
-			go own.sendOrder(ord)
+			go own.guard(func() { own.sendOrder(ord) })
 		}
 	}
 }
@@ -102,7 +107,7 @@
 		own.loseOwnership(now, "a VM has seen a higher fencing token")
 	}
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	switch ord.Kind {
 	case poolscheduler.StartTask:
 		own.sch.HandleStartOutcome(now, ord, out)
@@ -127,14 +132,14 @@
 		case <-tck.C:
 		}
 		now := own.cfg.Now()
-		own.mu.Lock()
-		own.sch.Tick(now)
-		own.startHandovers(now)
-		if own.sch.HasChanges() {
-			own.requestFlush()
-		}
-		own.requestPlan()
-		own.mu.Unlock()
+		own.locked(func() {
+			own.sch.Tick(now)
+			own.startHandovers(now)
+			if own.sch.HasChanges() {
+				own.requestFlush()
+			}
+			own.requestPlan()
+		})
 	}
 }
 
@@ -148,13 +153,13 @@
 			own.loseOwnership(own.cfg.Now(), "a later owner has claimed the pool")
 			return
 		}
-		own.mu.Lock()
-		own.endClaimCheck(own.cfg.Now(), cnf, err == nil)
-		if err == nil { // appendLoop and the group membership log an outage
-			own.sch.ConfirmOwnership(sent)
-			own.requestPlan()
-		}
-		own.mu.Unlock()
+		own.locked(func() {
+			own.endClaimCheck(own.cfg.Now(), cnf, err == nil)
+			if err == nil { // appendLoop and the group membership log an outage
+				own.sch.ConfirmOwnership(sent)
+				own.requestPlan()
+			}
+		})
 	}
 }
 
@@ -195,15 +200,20 @@
 	defer func() { own.cfg.Agent.Drop(last.Address) }()
 	for !own.isEnding() {
 		now := own.cfg.Now()
-		own.mu.Lock()
-		tgt, req, ok := own.sch.NextPoll(now, id)
-		revision := own.sch.Revision(id)
-		if !ok {
-			delete(own.polled, id)
-		}
-		count := len(own.polled)
-		own.mu.Unlock()
-		if !ok {
+		var tgt agent.Target
+		var req agent.Poll
+		var ok bool
+		var revision int64
+		var count int
+		own.locked(func() {
+			tgt, req, ok = own.sch.NextPoll(now, id)
+			revision = own.sch.Revision(id)
+			if !ok {
+				delete(own.polled, id)
+			}
+			count = len(own.polled)
+		})
+		if !ok || own.isEnding() {
 			return
 		}
 		if last.Address != "" && last.Address != tgt.Address {
@@ -255,9 +265,7 @@
 func (own *Owner) poll(sent time.Time, tgt agent.Target, revision int64, req agent.Poll) (ended bool, err error) {
 	rpt, out, err := own.callPoll(tgt, req, firstPollSlack)
 	if out == agent.Unknown && !own.isEnding() {
-		own.mu.Lock()
-		own.sch.HandleLatePoll(own.cfg.Now(), tgt.VM)
-		own.mu.Unlock()
+		own.locked(func() { own.sch.HandleLatePoll(own.cfg.Now(), tgt.VM) })
 		sent, req.Wait = own.cfg.Now(), 0
 		rpt, out, err = own.callPoll(tgt, req, pollTimeoutSlack)
 	}
@@ -267,15 +275,15 @@
 		own.loseOwnership(now, "a VM has seen a higher fencing token")
 		return false, err
 	case agent.WrongIncarnation:
-		own.mu.Lock()
-		own.sch.EndIncarnation(now, tgt.VM, revision)
-		own.requestClaimCheckIfUnconfirmed()
-		own.mu.Unlock()
+		own.locked(func() {
+			own.sch.EndIncarnation(now, tgt.VM, revision)
+			own.requestClaimCheckIfUnconfirmed()
+		})
 	case agent.Unknown:
 		own.cfg.Agent.Drop(tgt.Address)
 	}
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	if err != nil {
 		own.sch.HandlePollFailure(tgt.VM)
 		return false, errors.Wrap(err, "poll VM")
--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -122,8 +122,10 @@
 	confirmed           confirmation
 	quit                chan struct{}
 	lost                chan struct{}
+	crashed             chan struct{}
 	closeOnce           sync.Once
 	lostOnce            sync.Once
+	crashOnce           sync.Once
 	loops               sync.WaitGroup
 	done                chan struct{}
 }
@@ -153,7 +155,7 @@
 	own := &Owner{
 		cfg: cfg, fencingToken: clm.FencingToken(), table: cfg.Table, polled: map[string]bool{}, pending: map[string]*submission{}, handovers: map[string]*handover{}, refusals: refusal.New(), routes: map[string]*route{},
 		planRequested: make(chan struct{}, 1), routesRequested: make(chan struct{}, 1), flushRequested: make(chan struct{}, 1), claimCheckRequested: make(chan struct{}, 1), confirmed: cnf,
-		quit: make(chan struct{}), lost: make(chan struct{}), done: make(chan struct{}),
+		quit: make(chan struct{}), lost: make(chan struct{}), crashed: make(chan struct{}), done: make(chan struct{}),
 	}
 	own.appendTime = cfg.Metrics.GetOrCreateHistogram(metric.Name("daisywheel_append_seconds").With("pool", cfg.Pool).String())
 	own.orderTime = cfg.Metrics.GetOrCreateHistogram(metric.Name("daisywheel_order_seconds").With("pool", cfg.Pool).String())
@@ -168,20 +170,18 @@
 	if len(own.sch.QueueAddresses()) > 0 {
 		own.requestFlush() // their addresses are to be recorded
 	}
-	own.mu.Lock()
-	own.openRoutesOfJobs()
-	own.mu.Unlock()
+	own.locked(own.openRoutesOfJobs)
 	own.event(now, "ownerStarted", slog.Int64("fence", clm.FencingToken()), slog.Int("term", clm.Term()))
-	own.loops.Go(own.planLoop)
-	own.loops.Go(own.appendLoop)
-	own.loops.Go(own.routeLoop)
-	own.loops.Go(own.tickLoop)
-	own.loops.Go(own.claimLoop)
+	own.run(own.planLoop)
+	own.run(own.appendLoop)
+	own.run(own.routeLoop)
+	own.run(own.tickLoop)
+	own.run(own.claimLoop)
 	if cfg.Runtimes != nil {
-		own.loops.Go(own.runtimesLoop)
+		own.run(own.runtimesLoop)
 	}
 	if cfg.HandOver != nil {
-		own.loops.Go(own.handoverLoop)
+		own.run(own.handoverLoop)
 	}
 	go func() {
 		own.loops.Wait()
@@ -245,7 +245,7 @@
 		return errors.Wrap(err, "read jobs")
 	}
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	jobs := map[string]*jobrecord.Job{}
 	progress := map[string]jobrecord.Progress{}
 	unreadable := 0
@@ -308,7 +308,7 @@
 func (own *Owner) startPolling(id string) {
 	if !own.polled[id] && !own.isEnding() {
 		own.polled[id] = true
-		own.loops.Go(func() { own.pollLoop(id) })
+		own.run(func() { own.pollLoop(id) })
 	}
 }
 
@@ -384,7 +384,7 @@
 	own.closeOnce.Do(func() { close(own.quit) })
 	<-own.done
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	for _, sub := range own.queued {
 		own.resolve(sub, fault.New(code.NotReady, "the pool changes its owner"))
 	}
@@ -395,11 +395,15 @@
 func (own *Owner) loseOwnership(now time.Time, reason string) {
 	own.lostOnce.Do(func() {
 		own.event(now, "ownerLost", slog.Int64("fence", own.fencingToken), slog.String("reason", reason))
-		close(own.lost)
-		own.closeOnce.Do(func() { close(own.quit) })
+		own.endTerm()
 	})
 }
 
+func (own *Owner) endTerm() {
+	close(own.lost)
+	own.closeOnce.Do(func() { close(own.quit) })
+}
+
 // isEnding reports whether the term is over.
 func (own *Owner) isEnding() bool {
 	select {
@@ -413,7 +417,7 @@
 // SetTable applies a new configuration of queues.
 func (own *Owner) SetTable(tab *queue.Table) {
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	own.table = tab
 	own.sch.SetTable(tab)
 	own.dropRoutes()
@@ -423,7 +427,7 @@
 // ConfigVersion returns the version of the configuration in force, 0 without one.
 func (own *Owner) ConfigVersion() int64 {
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	return own.configVersion()
 }
 
@@ -438,7 +442,7 @@
 // SetListedVMs updates the VMs that the platform lists for the pool.
 func (own *Owner) SetListedVMs(now time.Time, hosts []host.Host) {
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	own.hasVMList = true
 	own.sch.SetListedVMs(now, hosts)
 	for _, hst := range hosts {
@@ -461,7 +465,7 @@
 // refused jobs whose callers are expected to retry soon.
 func (own *Owner) BalanceInput(now time.Time) balance.Pool {
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	pol := own.sch.BalanceInput(now)
 	pol.Demand += own.refusals.ReturningDemand(now)
 	return pol
@@ -470,7 +474,7 @@
 // SetEvacuating sets which VMs are to be evacuated.
 func (own *Owner) SetEvacuating(now time.Time, vms map[string]bool) {
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	own.sch.SetEvacuating(now, vms)
 	own.requestPlan()
 }
@@ -478,7 +482,7 @@
 // SetYielding sets the VMs that are to be evacuated for work of another pool that can end in time.
 func (own *Owner) SetYielding(vms map[string]bool) {
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	own.sch.SetYielding(vms)
 	own.requestPlan()
 }
@@ -486,7 +490,7 @@
 // SetMaintenanceDue sets which VMs a maintenance wave is going to reach.
 func (own *Owner) SetMaintenanceDue(vms map[string]bool) {
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	own.sch.SetMaintenanceDue(vms)
 }
 
@@ -494,7 +498,7 @@
 // asked for after a report with these revisions of the VMs.
 func (own *Owner) SetTerminated(now time.Time, vms []balance.VM) {
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	for _, vm := range vms {
 		own.sch.EndIncarnation(now, vm.ID, vm.Revision)
 	}
--- a/internal/schedule/owner/owner_test.go
+++ b/internal/schedule/owner/owner_test.go
@@ -50,9 +50,11 @@
 	begun time.Time
 	// suspended is the time for which the owners' machines were suspended.
 	suspended atomic.Int64 // nanoseconds
-	maxRecord int
-	runtimes  *runtimestore.Store
-	runTime   time.Duration // of all tasks but long-running ones
+	// isClockOdd is set while a look at the owners' clock brings about a panic.
+	isClockOdd atomic.Bool
+	maxRecord  int
+	runtimes   *runtimestore.Store
+	runTime    time.Duration // of all tasks but long-running ones
 }
 
 func newFixture(t *testing.T, vms int, cfg logstore.Config) *fixture {
@@ -89,7 +91,7 @@
 func (fxt *fixture) openWith(log statelog.Client, agt agent.Client) *owner.Owner {
 	fxt.t.Helper()
 	own, err := owner.Open(fxt.t.Context(), time.Now(), owner.Config{
-		RequestReport: func() {}, SinceBoot: func() time.Duration { return time.Since(fxt.begun) + time.Duration(fxt.suspended.Load()) },
+		RequestReport: func() {}, SinceBoot: fxt.sinceBoot,
 		Pool: pool, Address: "peer", MaxLease: maxLease, LongestLease: longestLease, StatusRetention: time.Minute, MaxRecord: fxt.maxRecord, StateLog: log, PoolIndex: poolindex.New(poolindex.Config{StateLog: log, Journal: journal.New(journal.Config{})}),
 		Agent: agt, Journal: journal.New(journal.Config{}), Metrics: metrics.NewSet(), Table: fxt.table, Runtimes: fxt.runtimes,
 	})
@@ -101,6 +103,13 @@
 	return own
 }
 
+func (fxt *fixture) sinceBoot() time.Duration {
+	if fxt.isClockOdd.Load() {
+		panic("odd clock")
+	}
+	return time.Since(fxt.begun) + time.Duration(fxt.suspended.Load())
+}
+
 // openEarlier opens an owner as of an earlier version of the program, whose start orders reach any incarnation of
 // a VM.
 func (fxt *fixture) openEarlier() *owner.Owner {
--- a/internal/schedule/owner/quota.go
+++ b/internal/schedule/owner/quota.go
@@ -10,7 +10,7 @@
 // QuotaReport returns the next report on the use of organisations with a limit.
 func (own *Owner) QuotaReport(now time.Time) quota.Report {
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	rpt := own.sch.QuotaReport(now)
 	own.updateQuotaMetrics(rpt.Usages)
 	return rpt
@@ -41,7 +41,7 @@
 // ApplyGrants applies the reply to the quota report with the number.
 func (own *Owner) ApplyGrants(seq int64, grants []quota.Grant) {
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	own.sch.ApplyGrants(seq, grants)
 	if isCapped, _ := own.sch.HasCappedWork(); isCapped {
 		own.requestPlan()
@@ -51,7 +51,7 @@
 // HasCappedWork reports whether work waits for an allowance.
 func (own *Owner) HasCappedWork() bool {
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	isCapped, _ := own.sch.HasCappedWork()
 	return isCapped
 }
--- a/internal/schedule/owner/requests.go
+++ b/internal/schedule/owner/requests.go
@@ -41,7 +41,7 @@
 // a route for which the submission has to wait, unless that is the one for which it has waited.
 func (own *Owner) accept(now time.Time, pln *plan.Plan, que queue.Ref, opened *route) (*submission, *route, error) {
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	if que.Address == "" { // an entry of an earlier version has sent it
 		que.Address = own.addressOf(que.Name)
 	}
@@ -199,7 +199,7 @@
 // request was routed by an old configuration; then it fails with code StaleRoute.
 func (own *Owner) State(que queue.Ref, id string) (ste jobrecord.State, ok bool, err error) {
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	if own.isEnding() {
 		return 0, false, fault.New(code.NotReady, "the pool changes its owner")
 	}
@@ -221,42 +221,17 @@
 // Cancel cancels a job and returns when that is stored. It reports false when there
 // is no such job, and fails with the codes UnknownJob and StaleRoute as State does.
 func (own *Owner) Cancel(ctx context.Context, now time.Time, que queue.Ref, id string) (found bool, err error) {
-	own.mu.Lock()
-	if own.isEnding() {
-		own.mu.Unlock()
-		return false, fault.New(code.NotReady, "the pool changes its owner")
-	}
-	if own.isOfOtherQueue(id, que) {
-		own.mu.Unlock()
-		return false, newUnknownJob(que.Name, id)
-	}
-	if hnd, isLeaving := own.handovers[id]; isLeaving {
-		own.mu.Unlock()
-		return true, fault.New(code.NotReady, "job %s goes to the pool %s", id, hnd.record.To)
-	}
-	if sub, isPending := own.pending[id]; isPending {
-		own.mu.Unlock()
+	sub, stored, found, err := own.startCancel(now, que, id, true)
+	if sub != nil {
 		select {
 		case <-sub.resolved:
 		case <-ctx.Done():
 			return true, fault.New(code.OutcomeUnknown, "job %s is being stored", id)
 		}
-		own.mu.Lock()
-	}
-	found = own.sch.Cancel(now, id)
-	if !found && own.isRoutedByOldConfig(que) {
-		own.mu.Unlock()
-		return false, newStaleRoute(que)
+		_, stored, found, err = own.startCancel(now, que, id, false)
 	}
-	stored := make(chan struct{})
-	if found {
-		own.waiters = append(own.waiters, stored)
-		own.requestFlush()
-		own.requestPlan()
-	}
-	own.mu.Unlock()
-	if !found {
-		return false, nil
+	if !found || err != nil {
+		return found, err
 	}
 	select {
 	case <-stored:
@@ -266,3 +241,35 @@
 	}
 	return true, fault.New(code.OutcomeUnknown, "cancellation of job %s may be stored", id)
 }
+
+// startCancel cancels a job, and returns a channel that is closed when that is stored. With isFirst, it cancels nothing if the
+// job's submission is pending, which it returns then.
+func (own *Owner) startCancel(now time.Time, que queue.Ref, id string, isFirst bool) (pending *submission, stored chan struct{}, found bool, err error) {
+	own.mu.Lock()
+	defer own.unlock()
+	if isFirst {
+		if own.isEnding() {
+			return nil, nil, false, fault.New(code.NotReady, "the pool changes its owner")
+		}
+		if own.isOfOtherQueue(id, que) {
+			return nil, nil, false, newUnknownJob(que.Name, id)
+		}
+		if hnd, isLeaving := own.handovers[id]; isLeaving {
+			return nil, nil, true, fault.New(code.NotReady, "job %s goes to the pool %s", id, hnd.record.To)
+		}
+		if sub, isPending := own.pending[id]; isPending {
+			return sub, nil, false, nil
+		}
+	}
+	if !own.sch.Cancel(now, id) {
+		if own.isRoutedByOldConfig(que) {
+			return nil, nil, false, newStaleRoute(que)
+		}
+		return nil, nil, false, nil
+	}
+	stored = make(chan struct{})
+	own.waiters = append(own.waiters, stored)
+	own.requestFlush()
+	own.requestPlan()
+	return nil, stored, true, nil
+}
--- a/internal/schedule/owner/route.go
+++ b/internal/schedule/owner/route.go
@@ -178,7 +178,7 @@
 // unregistered returns the routes that are to be registered.
 func (own *Owner) unregistered() (rts []*route) {
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	for _, rt := range own.routes {
 		if !rt.isRegistered {
 			rts = append(rts, rt)
@@ -235,7 +235,7 @@
 // setOthers notes which other pools have, or have had, the queues of the routes.
 func (own *Owner) setOthers(now time.Time, rts []*route, others map[string]map[string]int64) {
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	for _, rt := range rts {
 		rt.isRegistered = true
 		versions := others[rt.ref.Address]
@@ -258,7 +258,7 @@
 			rt.others = nil
 			own.setOpen(now, rt)
 		default:
-			own.loops.Go(func() { own.closeOthers(rt) })
+			own.run(func() { own.closeOthers(rt) })
 		}
 	}
 }
@@ -274,13 +274,14 @@
 	var grp sync.WaitGroup
 	for _, pool := range rt.others {
 		grp.Go(func() {
+			defer own.catch()
 			for !own.closeOther(rt, pool) && own.isNeeded(rt) && sleep(own.quit, logRetryDelay) {
 			}
 		})
 	}
 	grp.Wait()
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	if own.routes[rt.ref.Address] == rt && !own.isEnding() {
 		now := own.cfg.Now()
 		own.setOpen(now, rt)
@@ -291,7 +292,7 @@
 // isNeeded reports whether the queue still has the route.
 func (own *Owner) isNeeded(rt *route) bool {
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	return own.routes[rt.ref.Address] == rt
 }
 
--- a/internal/schedule/owner/runtimes.go
+++ b/internal/schedule/owner/runtimes.go
@@ -39,11 +39,11 @@
 		case err != nil: // it is tried again; appendLoop and the membership log an outage
 			return
 		default:
-			own.mu.Lock()
-			if own.sch.RestoreRuntimes(address, mdl) {
-				loaded[address] = true
-			}
-			own.mu.Unlock()
+			own.locked(func() {
+				if own.sch.RestoreRuntimes(address, mdl) {
+					loaded[address] = true
+				}
+			})
 		}
 	}
 }
@@ -51,7 +51,7 @@
 // queueAddresses returns the addresses of the queues that are configured for the pool.
 func (own *Owner) queueAddresses() []string {
 	own.mu.Lock()
-	defer own.mu.Unlock()
+	defer own.unlock()
 	var addresses []string
 	if own.table == nil {
 		return nil
@@ -66,14 +66,14 @@
 
 // storeRuntimes stores the run times that have changed.
 func (own *Owner) storeRuntimes(loaded map[string]bool, stored map[string]int) {
-	own.mu.Lock()
 	states := map[string]estimate.State{}
-	for address, ste := range own.sch.Runtimes() {
-		if loaded[address] && ste.Count != stored[address] {
-			states[address] = ste
+	own.locked(func() {
+		for address, ste := range own.sch.Runtimes() {
+			if loaded[address] && ste.Count != stored[address] {
+				states[address] = ste
+			}
 		}
-	}
-	own.mu.Unlock()
+	})
 	if len(states) == 0 || own.isEnding() {
 		return
 	}
--- a/internal/schedule/service/fleet.go
+++ b/internal/schedule/service/fleet.go
@@ -45,22 +45,30 @@
 // reconcileController opens or closes the fleet controller. The caller holds the lock.
 func (svc *Service) reconcileController(now time.Time, assigned map[int]bool) {
 	if svc.controller != nil && (now.Sub(svc.confirmedAt) >= poolscheduler.OwnerGracePeriod || isClosed(svc.controller.Lost())) {
-		go svc.controller.Close()
-		svc.controller, svc.failedAt[claim.Fleet()] = nil, now
+		delay := reopenDelay
+		if isClosed(svc.controller.Crashed()) {
+			delay = crashDelay
+		}
+		go svc.guard("closeController", svc.controller.Close)
+		svc.controller, svc.retryAt[claim.Fleet()] = nil, now.Add(delay)
 	}
-	isBackingOff := now.Sub(svc.failedAt[claim.Fleet()]) < reopenDelay
+	isBackingOff := now.Before(svc.retryAt[claim.Fleet()])
 	if !assigned[controllerPartition] || svc.controller != nil || svc.opening[claim.Fleet()] || isBackingOff {
 		return
 	}
 	svc.opening[claim.Fleet()] = true
-	go svc.openController()
+	go func() {
+		if !svc.guard("openController", svc.openController) {
+			svc.deferClaim(claim.Fleet(), crashDelay)
+		}
+	}()
 }
 
 func (svc *Service) openController() {
 	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
 	defer cancel()
 	if !svc.shouldClaim(ctx, claim.Fleet()) {
-		svc.deferClaim(claim.Fleet())
+		svc.deferClaim(claim.Fleet(), reopenDelay)
 		return
 	}
 	ctl, err := fleetcontroller.Open(ctx, time.Now(), fleetcontroller.Config{
@@ -72,12 +80,12 @@
 	defer svc.mu.Unlock()
 	delete(svc.opening, claim.Fleet())
 	if err != nil {
-		svc.failedAt[claim.Fleet()] = now
+		svc.retryAt[claim.Fleet()] = now.Add(reopenDelay)
 		svc.cfg.Journal.Warn(now, "stewardNotOpened", slog.String("error", err.Error()))
 		return
 	}
 	if svc.stopping.Load() {
-		go ctl.Close()
+		go svc.guard("closeController", ctl.Close)
 		return
 	}
 	svc.controller = ctl
@@ -94,19 +102,23 @@
 	owners := maps.Clone(svc.owners)
 	svc.mu.Unlock()
 	for pool, own := range owners {
-		now := time.Now()
-		pol := own.BalanceInput(now)
-		pol.HasAcks = true
-		svc.mu.Lock()
-		if last := svc.evacuations[pool]; last.own == own {
-			pol.AckedTerm, pol.AckedAt = last.term, last.stamp
-		}
-		svc.mu.Unlock()
-		rpl, err := svc.sendReport(now, pol)
-		svc.applyReportReply(now, own, pool, rpl, err)
+		svc.guard("report", func() { svc.reportPool(pool, own) })
 	}
 }
 
+func (svc *Service) reportPool(pool string, own *owner.Owner) {
+	now := time.Now()
+	pol := own.BalanceInput(now)
+	pol.HasAcks = true
+	svc.mu.Lock()
+	if last := svc.evacuations[pool]; last.own == own {
+		pol.AckedTerm, pol.AckedAt = last.term, last.stamp
+	}
+	svc.mu.Unlock()
+	rpl, err := svc.sendReport(now, pol)
+	svc.applyReportReply(now, own, pool, rpl, err)
+}
+
 // requestReport makes the next report due at once.
 func (svc *Service) requestReport() {
 	select {
--- a/internal/schedule/service/probe.go
+++ b/internal/schedule/service/probe.go
@@ -100,12 +100,12 @@
 	return answer
 }
 
-// deferClaim leaves a pool to its owner for reopenDelay.
-func (svc *Service) deferClaim(name claim.Name) {
+// deferClaim leaves a name unclaimed for a time.
+func (svc *Service) deferClaim(name claim.Name, delay time.Duration) {
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
 	delete(svc.opening, name)
-	svc.failedAt[name] = time.Now()
+	svc.retryAt[name] = time.Now().Add(delay)
 }
 
 func (svc *Service) serveOwnership(_ context.Context, params json.RawMessage) (any, error) {
--- a/internal/schedule/service/quota.go
+++ b/internal/schedule/service/quota.go
@@ -44,20 +44,24 @@
 	owners := maps.Clone(svc.owners)
 	svc.mu.Unlock()
 	for pool, own := range owners {
-		if svc.quotaRound%idleQuotaRounds != 0 && !own.HasCappedWork() {
-			continue
-		}
-		sent := boottime.Now()
-		rpt := own.QuotaReport(time.Now())
-		svc.mu.Lock()
-		rpt.AckedTerm = svc.quotaTerms[own]
-		svc.mu.Unlock()
-		rpl, err := svc.sendQuotaReport(rpt)
-		if err != nil || boottime.Now()-sent > fleetcontroller.GrantLifetime {
-			continue // the next report says what is held
-		}
-		svc.applyGrants(pool, own, rpt.Seq, rpl)
+		svc.guard("quotas", func() { svc.reportQuota(pool, own) })
+	}
+}
+
+func (svc *Service) reportQuota(pool string, own *owner.Owner) {
+	if svc.quotaRound%idleQuotaRounds != 0 && !own.HasCappedWork() {
+		return
+	}
+	sent := boottime.Now()
+	rpt := own.QuotaReport(time.Now())
+	svc.mu.Lock()
+	rpt.AckedTerm = svc.quotaTerms[own]
+	svc.mu.Unlock()
+	rpl, err := svc.sendQuotaReport(rpt)
+	if err != nil || boottime.Now()-sent > fleetcontroller.GrantLifetime {
+		return // the next report says what is held
 	}
+	svc.applyGrants(pool, own, rpt.Seq, rpl)
 }
 
 // applyGrants applies the reply to a quota report, unless a controller of a later term has replied before.
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -51,6 +51,9 @@
 	// reopenDelay is the pause before a pool that was lost or could not be opened is
 	// claimed again.
 	reopenDelay = 400 * time.Millisecond
+	// crashDelay is that pause after a panic, which is likely to come again: each claim costs records of the log, and the
+	// restored pool the time of the others.
+	crashDelay  = 5 * time.Second
 	openTimeout = 5 * time.Second
 	// firstJoinDelay bounds the time from the start of an entry to its first join. If
 	// the first successful join was sent later, earlier ones have failed.
@@ -102,7 +105,7 @@
 	poolsChangedAt time.Time
 	owners         map[string]*owner.Owner
 	opening        map[claim.Name]bool
-	failedAt       map[claim.Name]time.Time // when it was last lost, deferred or not opened
+	retryAt        map[claim.Name]time.Time // when it may be opened again after it was lost, deferred or not opened
 	// confirmedAt is when the last successful join was sent, or the time of the start
 	// while hasJoined is false.
 	confirmedAt time.Time
@@ -130,11 +133,12 @@
 // Start starts the background loops. IsReady reports when callers can be served.
 func Start(now time.Time, cfg Config) (*Service, error) {
 	svc := &Service{
-		cfg: cfg, link: rpc.New(rpc.Config{}), started: now, hosts: map[string]host.Host{},
-		owners: map[string]*owner.Owner{}, opening: map[claim.Name]bool{}, failedAt: map[claim.Name]time.Time{}, confirmedAt: now,
+		cfg: cfg, started: now, hosts: map[string]host.Host{},
+		owners: map[string]*owner.Owner{}, opening: map[claim.Name]bool{}, retryAt: map[claim.Name]time.Time{}, confirmedAt: now,
 		waves: map[int64]maintenance.Wave{}, evacuations: map[string]evacuation{}, reportRequested: make(chan struct{}, 1),
 		quotaRequested: make(chan struct{}, 1), quotaTerms: map[*owner.Owner]int64{},
 	}
+	svc.link = rpc.New(rpc.Config{OnCrash: svc.logCrash})
 	svc.feed = operatorfeed.New(operatorfeed.Config{Journal: cfg.Journal, Read: svc.readOperatorRecords, Apply: svc.applyOperatorRecord})
 	svc.poolIndex = poolindex.New(poolindex.Config{StateLog: cfg.StateLog, Journal: cfg.Journal})
 	svc.link.Handle(methodReport, svc.serveReport)
@@ -159,13 +163,13 @@
 		StateLog: cfg.StateLog, Journal: cfg.Journal, OnChange: svc.setPartitions,
 	})
 	svc.loops = []*loop.Loop{
-		loop.Start("wishes", svc.feed.Run),
-		loop.Start("group", mbr.Run),
-		loop.Start("hosts", svc.followVMList),
-		loop.Every("reconcile", reconcileInterval, svc.reconcile),
+		svc.start("wishes", svc.feed.Run),
+		svc.start("group", mbr.Run),
+		svc.start("hosts", svc.followVMList),
+		loop.Every("reconcile", reconcileInterval, svc.guarded("reconcile", svc.reconcile)),
 		loop.EveryOrWoken("report", reportInterval, minReportPause, svc.reportRequested, svc.report),
 		loop.EveryOrWoken("quotas", quotaInterval, minReportPause, svc.quotaRequested, svc.reportQuotas),
-		loop.Every("formerPools", formerPoolsInterval, svc.refreshFormerPools),
+		loop.Every("formerPools", formerPoolsInterval, svc.guarded("formerPools", svc.refreshFormerPools)),
 	}
 	return svc, nil
 }
@@ -220,10 +224,10 @@
 	// until SIGKILL is short.
 	var grp sync.WaitGroup
 	if ctl != nil {
-		grp.Go(ctl.Close)
+		grp.Go(func() { svc.guard("closeController", ctl.Close) })
 	}
 	for _, own := range owners {
-		grp.Go(own.Close)
+		grp.Go(func() { svc.guard("closeOwner", own.Close) })
 	}
 	grp.Wait()
 }
@@ -271,7 +275,7 @@
 		svc.mu.Lock()
 		defer svc.mu.Unlock()
 		for _, own := range svc.owners {
-			own.SetTable(tab)
+			svc.guard("setTable", func() { own.SetTable(tab) })
 		}
 		svc.gateway.SetTable(now, tab)
 		svc.table.Store(tab)
@@ -366,7 +370,7 @@
 		byPool[hst.Pool] = append(byPool[hst.Pool], hst)
 	}
 	for pool, own := range svc.owners {
-		own.SetListedVMs(now, byPool[pool])
+		svc.guard("setListedVMs", func() { own.SetListedVMs(now, byPool[pool]) })
 	}
 }
 
@@ -389,8 +393,11 @@
 	for pool, own := range svc.owners {
 		if isExpired || isClosed(own.OwnershipLost()) {
 			delete(svc.owners, pool)
-			svc.failedAt[claim.Pool(pool)] = now
-			go own.Close()
+			svc.retryAt[claim.Pool(pool)] = now.Add(reopenDelay)
+			if isClosed(own.Crashed()) {
+				svc.retryAt[claim.Pool(pool)] = now.Add(crashDelay)
+			}
+			go svc.guard("closeOwner", own.Close)
 		}
 	}
 	svc.reconcileController(now, assigned)
@@ -410,11 +417,15 @@
 // opened a short time ago. The caller holds the lock.
 func (svc *Service) startOpening(now time.Time, pool string, tab *queue.Table) {
 	name := claim.Pool(pool)
-	if svc.owners[pool] != nil || svc.opening[name] || now.Sub(svc.failedAt[name]) < reopenDelay {
+	if svc.owners[pool] != nil || svc.opening[name] || now.Before(svc.retryAt[name]) {
 		return
 	}
 	svc.opening[name] = true
-	go svc.openPool(pool, tab)
+	go func() {
+		if !svc.guard("openPool", func() { svc.openPool(pool, tab) }) {
+			svc.deferClaim(name, crashDelay)
+		}
+	}()
 }
 
 // isConfirmed reports whether the membership of this entry is confirmed. An entry
@@ -461,7 +472,7 @@
 	defer cancel()
 	name := claim.Pool(pool)
 	if !svc.shouldClaim(ctx, name) {
-		svc.deferClaim(name)
+		svc.deferClaim(name, reopenDelay)
 		return
 	}
 	own, err := owner.Open(ctx, time.Now(), owner.Config{
@@ -480,12 +491,12 @@
 	defer svc.mu.Unlock()
 	delete(svc.opening, name)
 	if err != nil {
-		svc.failedAt[name] = now
+		svc.retryAt[name] = now.Add(reopenDelay)
 		svc.cfg.Journal.Warn(now, "ownerNotOpened", slog.String("pool", pool), slog.String("error", err.Error()))
 		return
 	}
 	if svc.stopping.Load() {
-		go own.Close()
+		go svc.guard("closeOwner", own.Close)
 		return
 	}
 	svc.owners[pool] = own
--- a/internal/schedule/service/service_test.go
+++ b/internal/schedule/service/service_test.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"daisywheel/internal/event/journal"
+	"daisywheel/internal/fleet/agent"
 	"daisywheel/internal/fleet/directory"
 	"daisywheel/internal/fleet/host"
 	"daisywheel/internal/fleet/queue"
@@ -54,6 +55,7 @@
 	hidden    atomic.Int32 // entry that the others read a wrong address of, so that they can't reach it, or noEntry
 	off       atomic.Bool  // the VMs of pool are off
 	paged     atomic.Bool  // the list of VMs comes in pages: by the first, vm-0 is not draining, by the last it is
+	odder     atomic.Value // id of the VM whose reports bring about a panic
 	odd       atomic.Bool  // the announcement of vm-0 and one that names no VM can't be read
 	cut       atomic.Int32 // entry whose joins fail, or noEntry or allEntries
 	down      atomic.Bool  // the log fails all joins, appends and reads
@@ -109,7 +111,7 @@
 	set := metrics.NewSet()
 	svc, err := service.Start(time.Now(), service.Config{
 		Name: fmt.Sprintf("entry-%d", len(ste.entries)), PeerAddress: address, Partitions: 16, MilliCores: milliCores,
-		MaxLease: 6 * time.Second, MaxKeyAge: maxKeyAge, StatusRetention: time.Minute, StateLog: ste.stateLog(len(ste.entries)), Directory: ste.directory(len(ste.entries)), Agent: ste.fleet.Agent(),
+		MaxLease: 6 * time.Second, MaxKeyAge: maxKeyAge, StatusRetention: time.Minute, StateLog: ste.stateLog(len(ste.entries)), Directory: ste.directory(len(ste.entries)), Agent: ste.agent(),
 		Journal: journal.New(journal.Config{}), Metrics: set,
 	})
 	if err != nil {
@@ -121,6 +123,19 @@
 	return svc
 }
 
+// agent returns the client of the VMs, with the panic that odder selects.
+func (ste *site) agent() agent.Client {
+	agt := ste.fleet.Agent()
+	poll := agt.Poll
+	agt.Poll = func(ctx context.Context, tgt agent.Target, req agent.Poll) (agent.Report, agent.Outcome, error) {
+		if ste.odder.Load() == tgt.VM {
+			panic("odd report")
+		}
+		return poll(ctx, tgt, req)
+	}
+	return agt
+}
+
 // stateLog returns the entry's client of the log, with the failures that cut and down
 // select.
 func (ste *site) stateLog(entry int) statelog.Client {
