Refuse submissions while a pool's open jobs take its part of the memory

Cause: an owner keeps 352 bytes for each task of an open job, jobs have up to 4,096 tasks, and nothing bounded the jobs. Change: half of an entry's memory, at 512 bytes a task, is divided among the configured pools. A submission beyond the pool's part is refused with queueFull and a time, unless the pool has no open job. The state of a job that is cancelled before any task has started is dropped at once.

--- a/internal/schedule/owner/owner.go
+++ b/internal/schedule/owner/owner.go
@@ -58,12 +58,15 @@
 	LongestLease    time.Duration // that VMs grant
 	StatusRetention time.Duration
 	MaxRecord       int // longest record that the state log accepts, in bytes
-	StateLog        statelog.Client
-	PoolIndex       *poolindex.Index
-	Agent           agent.Client
-	Journal         *journal.Journal
-	Metrics         *metrics.Set
-	Table           *queue.Table
+	// MaxOpenTasks is the number of tasks of open jobs for whose state the memory of an entry suffices, over all pools; 0 for no
+	// limit.
+	MaxOpenTasks int
+	StateLog     statelog.Client
+	PoolIndex    *poolindex.Index
+	Agent        agent.Client
+	Journal      *journal.Journal
+	Metrics      *metrics.Set
+	Table        *queue.Table
 	// HandOver passes a job to the owner of another pool, and returns once it is stored there. If it
 	// is nil, jobs stay in the pool.
 	HandOver func(ctx context.Context, hnd jobrecord.Handover) error
--- a/internal/schedule/owner/owner_test.go
+++ b/internal/schedule/owner/owner_test.go
@@ -53,8 +53,10 @@
 	// isClockOdd is set while a look at the owners' clock brings about a panic.
 	isClockOdd atomic.Bool
 	maxRecord  int
-	runtimes   *runtimestore.Store
-	runTime    time.Duration // of all tasks but long-running ones
+	// maxOpenTasks is the limit of tasks of open jobs; 0 for none.
+	maxOpenTasks int
+	runtimes     *runtimestore.Store
+	runTime      time.Duration // of all tasks but long-running ones
 }
 
 func newFixture(t *testing.T, vms int, cfg logstore.Config) *fixture {
@@ -92,7 +94,7 @@
 	fxt.t.Helper()
 	own, err := owner.Open(fxt.t.Context(), time.Now(), owner.Config{
 		RequestReport: func() {}, SinceBoot: fxt.sinceBoot,
-		Pool: pool, Address: "peer", MaxLease: maxLease, LongestLease: longestLease, StatusRetention: time.Minute, MaxRecord: fxt.maxRecord, StateLog: log, PoolIndex: poolindex.New(poolindex.Config{StateLog: log, Journal: journal.New(journal.Config{})}),
+		Pool: pool, Address: "peer", MaxLease: maxLease, LongestLease: longestLease, StatusRetention: time.Minute, MaxRecord: fxt.maxRecord, MaxOpenTasks: fxt.maxOpenTasks, StateLog: log, PoolIndex: poolindex.New(poolindex.Config{StateLog: log, Journal: journal.New(journal.Config{})}),
 		Agent: agt, Journal: journal.New(journal.Config{}), Metrics: metrics.NewSet(), Table: fxt.table, Runtimes: fxt.runtimes,
 	})
 	if err != nil {
--- a/internal/schedule/owner/requests.go
+++ b/internal/schedule/owner/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"daisywheel/internal/fleet/queue"
@@ -9,6 +10,7 @@
 	"daisywheel/internal/result/code"
 	"daisywheel/internal/result/fault"
 	"daisywheel/internal/schedule/jobrecord"
+	"daisywheel/internal/schedule/poolscheduler"
 )
 
 // Submit returns when the job is stored here, or known to be in another pool of the queue. After a fault with code
@@ -69,6 +71,11 @@
 		wait := own.refusals.Add(now, pln)
 		return nil, nil, fault.NewRetryAfter(wait, code.LogUnavailable, "nothing can be stored since %s", now.Sub(own.stalledSince).Round(time.Millisecond))
 	}
+	if open, limit := own.openTasks(), own.openTaskLimit(); limit > 0 && open > 0 && open+poolscheduler.TaskCount(pln) > limit {
+		wait := own.refusals.Add(now, pln)
+		own.event(now, "poolFull", slog.String("job", pln.ID), slog.String("queue", que.Name), slog.Int("openTasks", open), slog.Int("limit", limit))
+		return nil, nil, fault.NewRetryAfter(wait, code.QueueFull, "the pool has %d tasks in open jobs, at most %d", open, limit)
+	}
 	if address != "" {
 		rt := own.route(que, address, since)
 		if rt != opened && (rt.openedAt.IsZero() || rt.needsLookup(now)) {
@@ -82,6 +89,25 @@
 	return sub, nil, nil
 }
 
+// openTasks returns the number of tasks of open jobs, also of those that are being stored. The caller holds the lock.
+func (own *Owner) openTasks() int {
+	open := own.sch.OpenTasks()
+	for _, sub := range own.pending {
+		open += poolscheduler.TaskCount(sub.job.Plan)
+	}
+	return open
+}
+
+// openTaskLimit returns the part of the pool in MaxOpenTasks, 0 for no limit. All pools may come to be owned by one entry, which
+// has to restore what the others have accepted. The caller holds the lock.
+func (own *Owner) openTaskLimit() int {
+	pools := 1
+	if own.table != nil {
+		pools = max(1, len(own.table.Pools()))
+	}
+	return own.cfg.MaxOpenTasks / pools
+}
+
 // enqueue adds a submission to those that wait to be stored. The caller holds the lock.
 func (own *Owner) enqueue(sub *submission) {
 	own.pending[sub.job.Plan.ID] = sub
--- a/internal/schedule/poolscheduler/end.go
+++ b/internal/schedule/poolscheduler/end.go
@@ -164,6 +164,7 @@
 	jst.done.Add(sst.occurrence)
 	jst.occurrences[sst.occurrence] = nil
 	jst.openOccurrences--
+	sch.updateOpenTasks(jst)
 	if jst.done.Len() == len(jst.occurrences) {
 		sch.endJob(now, jst, jobrecord.Completed, "done")
 		return
--- a/internal/schedule/poolscheduler/handover.go
+++ b/internal/schedule/poolscheduler/handover.go
@@ -28,6 +28,7 @@
 		delete(sch.jobs, id)
 		delete(sch.timedJobs, id)
 		delete(sch.dirtyJobs, id)
+		sch.openTasks -= jst.countedTasks
 		for _, occ := range jst.occurrences {
 			if occ == nil {
 				continue
--- a/internal/schedule/poolscheduler/poolscheduler.go
+++ b/internal/schedule/poolscheduler/poolscheduler.go
@@ -102,6 +102,7 @@
 	arrived       arrivals.Sum                     // work that arrived in this term
 	reported      reportTrigger                    // as of the last report on the pool
 	endedJobs     []string                         // ids of ended jobs, oldest first
+	openTasks     int                              // see OpenTasks
 	allReconciled bool                             // no unknown task of an earlier owner can still run
 	isUrgent      bool                             // callers or tasks wait for a change to be stored
 }
@@ -162,6 +163,7 @@
 	sch.jobs[jb.Plan.ID] = jst
 	sch.openDueOccurrences(now, jst)
 	sch.updateTimedJobs(jst)
+	sch.updateOpenTasks(jst)
 	if !jb.Plan.IsLongRunning() {
 		sch.arrived.Work += jb.Plan.Work()
 		sch.arrived.Jobs++
@@ -238,11 +240,7 @@
 // mayOpenAnother reports whether the tasks of another occurrence would keep the job within
 // plan.MaxTasks, which bounds its memory and its progress record. One may always be open.
 func (jst *jobState) mayOpenAnother() bool {
-	tasks := 0
-	for i := range jst.plan.Steps {
-		tasks += jst.plan.Steps[i].Count
-	}
-	return jst.openOccurrences == 0 || (jst.openOccurrences+1)*tasks <= plan.MaxTasks
+	return jst.openOccurrences == 0 || (jst.openOccurrences+1)*TaskCount(jst.plan) <= plan.MaxTasks
 }
 
 // updateTimedJobs adds the job to timedJobs while it has occurrences that are not due
@@ -276,6 +274,7 @@
 	}
 	jst.occurrences[num] = occ
 	jst.openOccurrences++
+	sch.updateOpenTasks(jst)
 	for _, sst := range occ.steps {
 		sch.openIfReady(occ, sst)
 	}
@@ -379,6 +378,8 @@
 	}
 	delete(sch.timedJobs, jst.plan.ID)
 	sch.stopJob(jst)
+	jst.dropUnstarted()
+	sch.updateOpenTasks(jst)
 	sch.endedJobs = append(sch.endedJobs, jst.plan.ID)
 	sch.cfg.Event(now, "jobEnded", slog.String("job", jst.plan.ID), slog.String("state", ste.String()),
 		slog.String("reason", reason), slog.Duration("after", now.Sub(jst.waitingSince)),
--- a/internal/schedule/poolscheduler/record.go
+++ b/internal/schedule/poolscheduler/record.go
@@ -217,6 +217,7 @@
 	sch.openDueOccurrences(now, jst)
 	sch.updateTimedJobs(jst)
 	sch.restoreTasks(jst, prg)
+	sch.updateOpenTasks(jst)
 	return jst
 }
 
--- a/internal/schedule/poolscheduler/state.go
+++ b/internal/schedule/poolscheduler/state.go
@@ -97,6 +97,7 @@
 	waitingSince    time.Time     // since when its caller has been waiting
 	occurrences     []*occurrence // by number; nil while not due, and once done
 	openOccurrences int           // number of those that are not nil
+	countedTasks    int           // in Scheduler.openTasks
 	done            numberset.Set // occurrences that are done
 	nextOccurrence  int           // number of the next occurrence to open
 	state           jobrecord.State
--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -67,6 +67,10 @@
 	leaseDuration = 5 * time.Second
 )
 
+// openTasksShare is the divisor of the memory that the state of tasks of open jobs may take. Callers take a quarter at most
+// (package budget); the rest is left for garbage, connections to VMs, and jobs that have ended.
+const openTasksShare = 2
+
 // Config holds what a Service needs.
 type Config struct {
 	Name            string
@@ -79,7 +83,8 @@
 	MinTTL          time.Duration // shortest membership TTL that the log accepts
 	OrderRate       float64       // orders for machines per second, of the whole fleet
 	StatusRetention time.Duration
-	MaxRecord       int // longest record that the log accepts, in bytes
+	MaxRecord       int   // longest record that the log accepts, in bytes
+	MemoryBytes     int64 // memory limit of the process, 0 when none is given
 	StateLog        statelog.Client
 	Directory       directory.Client
 	Agent           agent.Client
@@ -477,7 +482,7 @@
 	}
 	own, err := owner.Open(ctx, time.Now(), owner.Config{
 		Pool: pool, Partition: group.PartitionOf(pool, svc.cfg.Partitions), Address: svc.cfg.PeerAddress, MaxLease: min(svc.cfg.MaxLease, leaseDuration), LongestLease: svc.cfg.MaxLease,
-		StatusRetention: svc.cfg.StatusRetention, MaxRecord: svc.cfg.MaxRecord, StateLog: svc.cfg.StateLog, PoolIndex: svc.poolIndex, Runtimes: runtimestore.New(runtimestore.Config{StateLog: svc.cfg.StateLog, Journal: svc.cfg.Journal}), Agent: svc.cfg.Agent, Journal: svc.cfg.Journal,
+		StatusRetention: svc.cfg.StatusRetention, MaxRecord: svc.cfg.MaxRecord, MaxOpenTasks: int(svc.cfg.MemoryBytes / openTasksShare / poolscheduler.TaskBytes), StateLog: svc.cfg.StateLog, PoolIndex: svc.poolIndex, Runtimes: runtimestore.New(runtimestore.Config{StateLog: svc.cfg.StateLog, Journal: svc.cfg.Journal}), Agent: svc.cfg.Agent, Journal: svc.cfg.Journal,
 		Metrics: svc.cfg.Metrics, Table: tab, RequestReport: svc.requestReport, RequestQuotaReport: svc.requestQuotaReport, HandOver: svc.gateway.HandOver,
 		CloseRoute: svc.gateway.CloseRoute, IsInPool: svc.gateway.IsInPool, UnregisteredPools: svc.gateway.UnregisteredPools, ReadVersion: svc.gateway.ReadVersion,
 	})
