--- a/internal/fleet/queue/queue.go
+++ b/internal/fleet/queue/queue.go
@@ -31,13 +31,17 @@
 	Version      int64 // of the configuration that the queue is from; set by NewTable
 	// Since is the first version, of those known to this process without a gap, by which the queue has
 	// its pool. Set by NewTable and After.
-	Since int64
+	Since   int64
+	address string // see Address; set by NewTable
 }
 
 // Address returns the host and prefix at which callers ask. It tells queues apart over
 // versions of the configuration, as a queue may get another name. The host of a queue that can be reached has no slash,
 // and its prefix begins with one; others are told from these by the quotation mark.
 func (que *Queue) Address() string {
+	if que.address != "" {
+		return que.address
+	}
 	if strings.ContainsAny(que.Host, `/"`) || que.Prefix != "" && !strings.HasPrefix(que.Prefix, "/") {
 		return strconv.Quote(que.Host) + que.Prefix
 	}
@@ -114,7 +118,10 @@
 		tab.pools = append(tab.pools, pol)
 	}
 	for i := range tab.queues {
-		tab.queues[i].Version, tab.queues[i].Since = version, version
+		que := &tab.queues[i]
+		que.Version, que.Since = version, version
+		que.address = "" // of another table, if the queue was changed since
+		que.address = que.Address()
 	}
 	sort.SliceStable(tab.queues, func(i, j int) bool { return len(tab.queues[i].Prefix) > len(tab.queues[j].Prefix) })
 	sort.Slice(tab.pools, func(i, j int) bool { return tab.pools[i].Name < tab.pools[j].Name })
