Register an owner that has been opened also after a panic in catching up

Cause: a panic while the service reads on, between the opening of an owner and its registration, would leave a running owner that nobody passes VMs to or closes. Change: that read is guarded like the others.

--- a/internal/schedule/service/service.go
+++ b/internal/schedule/service/service.go
@@ -489,7 +489,7 @@
 	if err == nil {
 		// From here on another pool may have taken over queues by a configuration that is stored but not
 		// read here, as its owner could not ask this one before. What fails is logged.
-		_ = svc.feed.CatchUp(ctx, time.Now())
+		svc.guard("catchUp", func() { _ = svc.feed.CatchUp(ctx, time.Now()) })
 	}
 	now := time.Now()
 	svc.mu.Lock()
