--- a/internal/schedule/claim/claim_test.go
+++ b/internal/schedule/claim/claim_test.go
@@ -154,6 +154,18 @@
 	}
 }
 
+// A claim of an earlier version that a pool named fleet has taken up is none of the fleet, which may be claimed at once.
+func TestNobodyActsByAClaimThatWasTakenUp(t *testing.T) {
+	log := logstore.New(logstore.Config{}).Client()
+	earlierOf(log, claim.Fleet()).acquire(t, "10.0.0.1:1")
+	if _, err := claim.Acquire(t.Context(), log, claim.Pool("fleet"), "10.0.0.2:1"); err != nil {
+		t.Fatal(err)
+	}
+	if token, _, err := claim.Newest(t.Context(), log, claim.Fleet()); err != nil || token != 0 {
+		t.Errorf("the fleet is claimed with the token %d, %v, want none", token, err)
+	}
+}
+
 // Entries of an earlier and of the present version claim side by side. At most one holds a name, no term that has ended goes on,
 // and terms of a name and fencing tokens rise.
 func TestVersionsClaimSideBySide(t *testing.T) {
--- a/internal/schedule/owner/crash_test.go
+++ b/internal/schedule/owner/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,10 +38,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		fxt := newFixture(t, 2, logstore.Config{})
 		agt := fxt.fleet.Agent()
-		isOdd := false
+		var isOdd atomic.Bool
 		poll := agt.Poll
 		agt.Poll = func(ctx context.Context, tgt agent.Target, req agent.Poll) (agent.Report, agent.Outcome, error) {
-			if isOdd {
+			if isOdd.Load() {
 				panic("odd report")
 			}
 			return poll(ctx, tgt, req)
@@ -49,10 +50,10 @@
 		if err := fxt.submit(own, job(1, 3)); err != nil {
 			t.Fatal(err)
 		}
-		isOdd = true
+		isOdd.Store(true)
 		time.Sleep(3 * time.Second)
 		fxt.checkCrashed(own)
-		isOdd = false
+		isOdd.Store(false)
 		fxt.await(fxt.open(), job(1, 3).ID, 20*time.Second)
 		fxt.checkInvariants()
 	})
