--- a/internal/schedule/service/crash_test.go
+++ b/internal/schedule/service/crash_test.go
@@ -10,7 +10,7 @@
 // A panic in what one pool's owner does ended the process, and with it the owners of other pools. It costs its own pool.
 func TestPanicCostsOnlyItsOwnPool(t *testing.T) {
 	ste := newSite(t, []string{pool, pool, otherPool})
-	ste.odder.Store("vm-2")
+	ste.panicVM.Store("vm-2")
 	other := queue.Queue{Name: "other", Host: "h", Prefix: "/o/", Pool: otherPool, MaxAttempts: 3, DeadlineFactor: 1.6, LatencyGoal: time.Second}
 	ste.putTable(1, passes, other)
 	ste.startEntry(entryMilliCores)
@@ -19,7 +19,7 @@
 		ste.await(ste.entries[0], job(num).ID)
 		time.Sleep(300 * time.Millisecond)
 	}
-	ste.odder.Store("")
+	ste.panicVM.Store("")
 	ste.submitTo(other, ste.entries[0], job(9))
 	ste.awaitIn(other, ste.entries[0], job(9).ID)
 	ste.stop()
--- a/internal/schedule/service/service_test.go
+++ b/internal/schedule/service/service_test.go
@@ -55,7 +55,7 @@
 	hidden    atomic.Int32 // entry that the others read a wrong address of, so that they can't reach it, or noEntry
 	off       atomic.Bool  // the VMs of pool are off
 	paged     atomic.Bool  // the list of VMs comes in pages: by the first, vm-0 is not draining, by the last it is
-	odder     atomic.Value // id of the VM whose reports bring about a panic
+	panicVM   atomic.Value // id of the VM whose reports bring about a panic
 	odd       atomic.Bool  // the announcement of vm-0 and one that names no VM can't be read
 	cut       atomic.Int32 // entry whose joins fail, or noEntry or allEntries
 	down      atomic.Bool  // the log fails all joins, appends and reads
@@ -123,12 +123,12 @@
 	return svc
 }
 
-// agent returns the client of the VMs, with the panic that odder selects.
+// agent returns the client of the VMs, with the panic that panicVM selects.
 func (ste *site) agent() agent.Client {
 	agt := ste.fleet.Agent()
 	poll := agt.Poll
 	agt.Poll = func(ctx context.Context, tgt agent.Target, req agent.Poll) (agent.Report, agent.Outcome, error) {
-		if ste.odder.Load() == tgt.VM {
+		if ste.panicVM.Load() == tgt.VM {
 			panic("odd report")
 		}
 		return poll(ctx, tgt, req)
